--- /dev/null
+++ b/gooseberrylink/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the command line as `python -m gooseberrylink`."""
+
+from gooseberrylink.cmdline import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/gooseberrylink/admission.py
@@ -0,0 +1,134 @@
+"""Decides whether a job is taken, and plans its tasks."""
+
+from gooseberrylink.codes import Code
+from gooseberrylink.exceptions import RefusedError
+from gooseberrylink.lane import Lane
+from gooseberrylink.operators.configuration import Configuration
+from gooseberrylink.operators.declarations import Customer, Service
+from gooseberrylink.quotas import Quotas
+from gooseberrylink.runtimes import RuntimeModel
+from gooseberrylink.types import Job, JobRequest, Task
+
+_RETRY_SOON_S = 1.0
+_RETRY_MAX_S = 30.0
+
+
+class Admission:
+    """Refuses, truthfully and early, what could not be answered in time."""
+
+    def __init__(
+        self,
+        configuration: Configuration,
+        quotas: Quotas,
+        runtimes: RuntimeModel,
+        orders_queue: bool,
+    ):
+        self._configuration = configuration
+        self._quotas = quotas
+        self._runtimes = runtimes
+        self._orders_queue = orders_queue
+
+    def check(
+        self,
+        request: JobRequest,
+        lane: Lane,
+        entries: int,
+        now_s: float,
+        is_draining: bool,
+    ) -> None:
+        """Checks a request against rules, quotas and capacity.
+
+        Raises:
+            RefusedError: With a 1xx code.
+        """
+        if is_draining:
+            raise RefusedError(
+                Code.SHUTTING_DOWN, "this entry is shutting down", _RETRY_SOON_S
+            )
+        if self._configuration.declarations is None:
+            raise RefusedError(Code.NOT_READY, "no configuration yet", _RETRY_SOON_S)
+        customer = self._known_customer(request)
+        service = self._known_service(request)
+        self._check_shape(request, service)
+        if not any(peer.can_serve for peer in lane.peers):
+            detail = f"no backend server for {service.name} is connected"
+            raise RefusedError(Code.NO_BACKEND_SERVER, detail, _RETRY_SOON_S)
+        self._check_capacity(request, customer, lane, now_s)
+        pause_s = self._quotas.try_admit(customer, len(request.tasks), entries, now_s)
+        if pause_s is not None:
+            detail = f"customer {customer.name} is over its quota"
+            raise RefusedError(Code.OVER_QUOTA, detail, pause_s)
+
+    def plan(self, job: Job, lane: Lane) -> None:
+        """Makes the tasks of a checked job."""
+        request = job.request
+        customer = self._configuration.customer(request.customer)
+        expected_s = self._expected_s(request)
+        order = (0, job.submitted_s)
+        if self._orders_queue:
+            order = lane.order_key(job, customer, sum(expected_s), max(expected_s))
+            lane.charge(customer, sum(expected_s), job.submitted_s)
+        long_after_s = self._configuration.long_after_s(request.service)
+        for index, spec in enumerate(request.tasks):
+            is_long = self._runtimes.is_long(
+                request.customer, request.service, spec.declared_s, long_after_s
+            )
+            task_id = f"{job.job_id}-{index}"
+            job.tasks.append(
+                Task(task_id, job, index, spec, expected_s[index], order, is_long)
+            )
+        job.results = [None] * len(job.tasks)
+        job.unfinished = len(job.tasks)
+
+    def _known_customer(self, request: JobRequest) -> Customer:
+        customer = self._configuration.customer(request.customer)
+        if customer is None:
+            detail = f"unknown customer {request.customer!r}"
+            raise RefusedError(Code.UNKNOWN_CUSTOMER, detail)
+        return customer
+
+    def _known_service(self, request: JobRequest) -> Service:
+        service = self._configuration.service(request.service)
+        if service is None:
+            detail = f"unknown service {request.service!r}"
+            raise RefusedError(Code.UNKNOWN_SERVICE, detail)
+        return service
+
+    def _check_shape(self, request: JobRequest, service: Service) -> None:
+        limit = self._configuration.declarations.rules.limits.max_tasks_per_job
+        if len(request.tasks) > limit:
+            detail = f"{len(request.tasks)} tasks, at most {limit} are allowed"
+            raise RefusedError(Code.TOO_MANY_TASKS, detail)
+        if request.deadline_s > service.max_deadline_s:
+            detail = f"deadline_s is over {service.max_deadline_s:g} s"
+            raise RefusedError(Code.DEADLINE_INVALID, detail)
+        is_once_only = service.never_repeat or not request.repeatable
+        if is_once_only and not request.idempotency_key:
+            detail = "a request that must not repeat needs an Idempotency-Key"
+            raise RefusedError(Code.IDEMPOTENCY_KEY_MISSING, detail)
+
+    def _check_capacity(
+        self, request: JobRequest, customer: Customer, lane: Lane, now_s: float
+    ) -> None:
+        limits = self._configuration.declarations.rules.limits
+        if len(lane.queue) + len(request.tasks) > limits.max_queued_tasks:
+            raise RefusedError(Code.OVERLOADED, "the queue is full", _RETRY_SOON_S)
+        if not self._orders_queue:
+            return
+        expected_s = self._expected_s(request)
+        probe = Job("", request, now_s, now_s + request.deadline_s)
+        order = lane.order_key(probe, customer, sum(expected_s), max(expected_s))
+        ready_s = lane.wait_s(order) + sum(expected_s) / lane.parallelism()
+        ready_s = max(ready_s, lane.wait_s(order) + max(expected_s))
+        if ready_s > request.deadline_s:
+            retry_after_s = min(_RETRY_MAX_S, max(0.1, ready_s - request.deadline_s))
+            detail = f"the answer would take about {ready_s:.1f} s"
+            raise RefusedError(Code.OVERLOADED, detail, retry_after_s)
+
+    def _expected_s(self, request: JobRequest) -> list[float]:
+        return [
+            self._runtimes.expected_s(
+                request.customer, request.service, spec.declared_s
+            )
+            for spec in request.tasks
+        ]
--- /dev/null
+++ b/gooseberrylink/agent.py
@@ -0,0 +1,384 @@
+"""Runs tasks at the backend server beside it, on behalf of all entries."""
+
+import collections
+import random
+import secrets
+
+import trio
+
+from gooseberrylink.backends.server import (
+    Announcement,
+    BackendOutcome,
+    BackendServer,
+)
+from gooseberrylink.config import AgentSettings
+from gooseberrylink.counters import Counters
+from gooseberrylink.failures import FailureWatch
+from gooseberrylink.gate import Gate, Record, RecordState
+from gooseberrylink.logs import log_event
+from gooseberrylink.operators.configuration import Configuration
+from gooseberrylink.peers.entry_peer import EntryPeer
+from gooseberrylink.peers.link import Dialer
+from gooseberrylink.peers.messages import (
+    Ack,
+    AgentHello,
+    Assign,
+    ConfigUpdate,
+    EntryFrame,
+    Result,
+    Revoke,
+    Status,
+)
+from gooseberrylink.rendezvous import choose_entries
+from gooseberrylink.slots import SlotLedger
+from gooseberrylink.usage import CustomerUsage
+
+_JANITOR_TICK_S = 0.2
+_DRAIN_TICK_S = 0.05
+
+
+class Agent:
+    """The process beside a backend server.
+
+    Attributes:
+        incarnation: Random id of this run; all records end with it.
+        gate: Decides which tasks may start.
+        ledger: Shares the slots among entries.
+        failures: Watches the backend server's outcomes.
+    """
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        dialer: Dialer,
+        counters: Counters | None = None,
+        seed: int | None = None,
+    ):
+        self.settings = settings
+        self.dialer = dialer
+        self.counters = counters or Counters("agent", settings.worker)
+        self.random = random.Random(seed)
+        self.incarnation = secrets.token_hex(8)
+        self.service = ""
+        self.configuration = Configuration()
+        self.gate = Gate(settings.lease_s, settings.retention_s, settings.max_records)
+        self.ledger = SlotLedger(
+            settings.grant_s, settings.demand_valid_s, settings.pressure_ratio
+        )
+        self.failures = FailureWatch(settings.failure_policy())
+        self.is_draining = False
+        self._usage = CustomerUsage()
+        self._backend: BackendServer | None = None
+        self._speed_hint = 1.0
+        self._held: collections.deque[Record] = collections.deque()
+        self._running: dict[str, Record] = {}
+        self._long_ids: set[str] = set()
+        self._peers: dict[str, EntryPeer] = {}
+        self._known_entries: set[str] = set(settings.entries)
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Serves entries until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            self._connect_chosen_entries()
+            nursery.start_soon(self._run_janitor)
+            task_status.started()
+
+    async def drain(self, timeout_s: float) -> bool:
+        """Takes nothing new and waits until entries have every result.
+
+        Returns:
+            Whether everything in progress was finished and delivered.
+        """
+        self.is_draining = True
+        self.ledger.slots = 0
+        self._drop_all_held("draining")
+        self._poke_all()
+        with trio.move_on_after(timeout_s) as scope:
+            while self._has_unfinished_business():
+                await trio.sleep(_DRAIN_TICK_S)
+        return not scope.cancelled_caught
+
+    # The backend server.
+
+    def attach_backend(self, backend: BackendServer, announced: Announcement) -> None:
+        """Starts using a backend server that announced itself."""
+        self._backend = backend
+        self.service = announced.service
+        self._speed_hint = announced.speed_hint
+        if not self.is_draining:
+            self.ledger.slots = announced.slots
+        self.failures.reset()
+        self._update_limit()
+        self._poke_all()
+        log_event("backend_attached", service=announced.service, slots=announced.slots)
+
+    def detach_backend(self, reason: str) -> None:
+        """Gives no new task to the backend server; running ones go on."""
+        if self._backend is None:
+            return
+        self._backend = None
+        self.ledger.slots = 0
+        self._drop_all_held("backend_left")
+        self._poke_all()
+        log_event("backend_detached", service=self.service, reason=reason)
+
+    # What entries say.
+
+    def hello(self) -> AgentHello:
+        """Returns the first frame for a new link."""
+        return AgentHello(
+            worker=self.settings.worker,
+            incarnation=self.incarnation,
+            data_centre=self.settings.data_centre,
+            service=self.service,
+            slots=self.ledger.slots,
+            clock_s=trio.current_time(),
+            entries=sorted(self._known_entries),
+            config_version=self.configuration.version,
+            speed_hint=self._speed_hint,
+        )
+
+    def learn_entries(self, addresses: list[str]) -> None:
+        """Notes entries that were heard of, and links to the chosen ones."""
+        if not self._known_entries.issuperset(addresses):
+            self._known_entries.update(addresses)
+            self._connect_chosen_entries()
+
+    def receive(self, peer: EntryPeer, frame: EntryFrame) -> None:
+        """Handles one frame of an entry."""
+        now_s = trio.current_time()
+        self.gate.renew_lease(peer.incarnation, frame.basis_s)
+        self.ledger.state_demand(
+            peer.incarnation, frame.demand, frame.backlog, frame.in_flight, now_s
+        )
+        peer.quarantined_share = frame.quarantined_share
+        for item in frame.items:
+            match item:
+                case Assign():
+                    self._take_assign(peer, item, frame.basis_s, now_s)
+                case Revoke():
+                    for task_id in item.task_ids:
+                        self._revoke(peer, task_id, now_s)
+                case Ack():
+                    self.gate.acknowledge(item.task_ids, now_s)
+                case ConfigUpdate():
+                    self.configuration.adopt(item.version, item.text, "entry")
+        if frame.demand and self.ledger.free_for(peer.incarnation, now_s):
+            # The entry asks although a slot is free: its view is out of date.
+            peer.outbox.poke()
+
+    def entry_disconnected(self, peer: EntryPeer) -> None:
+        """Frees what is reserved for an entry; its tasks go on."""
+        self.ledger.remove_entry(peer.incarnation)
+
+    # Tasks.
+
+    def _take_assign(
+        self, peer: EntryPeer, assign: Assign, basis_s: float, now_s: float
+    ) -> None:
+        peer.count_assign()
+        record = self.gate.admit(assign, peer.incarnation, basis_s, now_s)
+        if isinstance(record, str):
+            if record != "duplicate":
+                self._refuse(peer, assign.task_id, record)
+            return
+        self._update_limit()
+        reason = self._reason_not_to_start(peer, assign, now_s)
+        if reason is None:
+            self._start(peer, record, now_s)
+        elif reason in ("full", "full_long") and self._may_hold(assign):
+            self._held.append(record)
+        else:
+            self.gate.drop(record, reason, now_s)
+            self._refuse(peer, assign.task_id, reason)
+
+    def _reason_not_to_start(
+        self, peer: EntryPeer, assign: Assign, now_s: float
+    ) -> str | None:
+        if self.is_draining:
+            return "draining"
+        if self._backend is None:
+            return "no_backend"
+        if assign.is_long and not assign.is_holdable:
+            free = self.ledger.free_long_for(peer.incarnation, now_s)
+        else:
+            free = self.ledger.free_for(peer.incarnation, now_s)
+        if free > 0:
+            return None
+        if self.failures.is_quarantined:
+            return "quarantined"
+        return "full_long" if assign.is_long else "full"
+
+    def _may_hold(self, assign: Assign) -> bool:
+        return assign.is_holdable and len(self._held) < self.settings.max_held
+
+    def _refuse(self, peer: EntryPeer, task_id: str, reason: str) -> None:
+        self.counters.add("assigns_refused", reason)
+        peer.outbox.put(Result(task_id, Status.NOT_STARTED, reason=reason))
+
+    def _start(self, peer: EntryPeer, record: Record, now_s: float) -> None:
+        if not self.gate.start(record, now_s):
+            self._refuse(peer, record.task_id, record.result.reason)
+            return
+        assign = record.assign
+        self._running[record.task_id] = record
+        if assign.is_long:
+            self._long_ids.add(record.task_id)
+        self.ledger.start(peer.incarnation, assign.is_long, now_s)
+        self._usage.add(assign.customer, peer.incarnation, assign.demand_ratio, now_s)
+        peer.running += 1
+        self.counters.add("tasks_started")
+        self._nursery.start_soon(self._run_task, peer, record, self._backend)
+
+    async def _run_task(
+        self, peer: EntryPeer, record: Record, backend: BackendServer
+    ) -> None:
+        assign = record.assign
+        try:
+            outcome = await backend.run(
+                assign.task_id, assign.job_id, assign.customer, assign.payload
+            )
+        except Exception as error:
+            log_event("backend_client_failed", "ERROR", error=repr(error))
+            outcome = BackendOutcome(Status.MAY_HAVE_RUN, reason="backend_broke")
+        now_s = trio.current_time()
+        self._free_slot(peer, record, now_s)
+        self._note_outcome(assign, outcome, now_s)
+        self._report(peer, record, assign, outcome, now_s)
+        self._use_free_slots(peer, now_s)
+
+    def _free_slot(self, peer: EntryPeer, record: Record, now_s: float) -> None:
+        del self._running[record.task_id]
+        peer.running -= 1
+        self.ledger.end(record.task_id in self._long_ids, now_s)
+        self._long_ids.discard(record.task_id)
+
+    def _note_outcome(
+        self, assign: Assign, outcome: BackendOutcome, now_s: float
+    ) -> None:
+        self.counters.add("tasks_ended", outcome.status.name.lower())
+        if outcome.status is Status.DONE:
+            self.failures.succeeded(now_s)
+        elif self.failures.failed(assign.customer, now_s):
+            self.counters.add("quarantines")
+            log_event("quarantine_began", "WARNING", worker=self.settings.worker)
+        self._update_limit()
+
+    def _report(
+        self,
+        peer: EntryPeer,
+        record: Record,
+        assign: Assign,
+        outcome: BackendOutcome,
+        now_s: float,
+    ) -> None:
+        if outcome.status is Status.NOT_STARTED:
+            self.gate.withdraw(record, outcome.reason, now_s)
+            self._refuse(peer, record.task_id, outcome.reason)
+            return
+        result = Result(
+            record.task_id,
+            outcome.status,
+            outcome.value,
+            outcome.reason,
+            outcome.run_s,
+            self._usage.demand_for_each_own(assign.customer, peer.incarnation, now_s),
+        )
+        self.gate.finish(record, result, now_s)
+        if peer.incarnation == record.entry:
+            peer.outbox.put(result)
+
+    def _use_free_slots(self, peer: EntryPeer, now_s: float) -> None:
+        self._start_held(now_s)
+        granted = self.ledger.grant_freed_slot(peer.incarnation, now_s)
+        if granted is None:
+            return
+        for other in self._peers.values():
+            if other.incarnation == granted:
+                self.counters.add("grants")
+                other.outbox.poke()
+
+    def _start_held(self, now_s: float) -> None:
+        while self._held and self.ledger.free_for("", now_s) > 0:
+            record = self._held.popleft()
+            if record.state is not RecordState.HELD:
+                continue
+            peer = self._peer_of(record)
+            if peer is None:
+                self.gate.drop(record, "entry_gone", now_s)
+                continue
+            self._start(peer, record, now_s)
+
+    def _revoke(self, peer: EntryPeer, task_id: str, now_s: float) -> None:
+        result = self.gate.revoke(task_id, now_s)
+        self.counters.add("revokes", result.status.name.lower())
+        peer.outbox.put(result)
+
+    def _drop_all_held(self, reason: str) -> None:
+        now_s = trio.current_time()
+        while self._held:
+            record = self._held.popleft()
+            peer = self._peer_of(record)
+            if record.state is RecordState.HELD:
+                self.gate.drop(record, reason, now_s)
+                if peer is not None:
+                    self._refuse(peer, record.task_id, reason)
+
+    def _peer_of(self, record: Record) -> EntryPeer | None:
+        for peer in self._peers.values():
+            if peer.incarnation == record.entry:
+                return peer
+        return None
+
+    # Upkeep.
+
+    def _connect_chosen_entries(self) -> None:
+        chosen = choose_entries(
+            self.settings.worker, self._known_entries, self.settings.max_entries
+        )
+        for address in chosen:
+            if address not in self._peers:
+                self._peers[address] = EntryPeer(self, address)
+                self._nursery.start_soon(self._peers[address].run)
+
+    def _update_limit(self) -> None:
+        now_s = trio.current_time()
+        shares = [p.quarantined_share for p in self._peers.values() if p.is_connected]
+        self.failures.quarantined_share = max(shares, default=0.0)
+        self.ledger.limit = self.failures.slot_limit(self.ledger.slots, now_s)
+
+    def _poke_all(self) -> None:
+        for peer in self._peers.values():
+            if peer.is_connected:
+                peer.outbox.poke()
+
+    def _has_unfinished_business(self) -> bool:
+        if self._running:
+            return True
+        return any(
+            peer.is_connected and self.gate.unacknowledged(peer.incarnation)
+            for peer in self._peers.values()
+        )
+
+    async def _run_janitor(self) -> None:
+        while True:
+            await trio.sleep(_JANITOR_TICK_S)
+            now_s = trio.current_time()
+            was_blocked = self.ledger.limit == 0
+            self._update_limit()
+            if was_blocked and self.ledger.limit > 0 and self.ledger.slots:
+                self._poke_all()
+            self._note_overruns(now_s)
+            self._start_held(now_s)
+            self.gate.forget_old(now_s)
+
+    def _note_overruns(self, now_s: float) -> None:
+        long_after_s = self.configuration.long_after_s(self.service)
+        for task_id, record in self._running.items():
+            ran_s = now_s - record.started_s
+            if ran_s > long_after_s and task_id not in self._long_ids:
+                self._long_ids.add(task_id)
+                self.ledger.overrun(now_s)
+                self.counters.add("overruns")
--- /dev/null
+++ b/gooseberrylink/backends/announcements.py
@@ -0,0 +1,97 @@
+"""Takes announcements of the backend server beside the agent, over HTTP."""
+
+from collections.abc import Callable
+from typing import Annotated
+
+import pydantic
+import trio
+from pydantic import Field
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from gooseberrylink.agent import Agent
+from gooseberrylink.backends.server import Announcement, BackendServer
+from gooseberrylink.config import Address, Name
+from gooseberrylink.yaml_file import StrictModel
+
+_METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+_CHECKS_IN_VALIDITY = 4
+
+
+class AnnouncementModel(StrictModel):
+    """What a backend server says of itself."""
+
+    service: Name
+    address: Address
+    slots: Annotated[int, Field(ge=1, le=1024)]
+    speed_hint: Annotated[float, Field(gt=0)] = 1.0
+
+
+class Announcements:
+    """The announcement of one backend server, kept while it is renewed.
+
+    A backend server announces itself with PUT /v1/backend, repeats that well
+    within announcement_valid_s, and leaves with DELETE /v1/backend.
+    """
+
+    def __init__(
+        self, agent: Agent, make_backend: Callable[[Announcement], BackendServer]
+    ):
+        self._agent = agent
+        self._make_backend = make_backend
+        self._current: Announcement | None = None
+        self._renewed_s = 0.0
+        self.app = Starlette(
+            routes=[
+                Route("/v1/backend", self._announce, methods=["PUT"]),
+                Route("/v1/backend", self._leave, methods=["DELETE"]),
+                Route("/metrics", self._metrics),
+            ]
+        )
+
+    async def run(self) -> None:
+        """Detaches a backend server that stopped renewing."""
+        valid_s = self._agent.settings.announcement_valid_s
+        while True:
+            await trio.sleep(valid_s / _CHECKS_IN_VALIDITY)
+            is_over = trio.current_time() - self._renewed_s > valid_s
+            if self._current is not None and is_over:
+                self._current = None
+                self._agent.detach_backend("announcement_lapsed")
+
+    def announce(self, announcement: Announcement) -> None:
+        """Takes or renews an announcement."""
+        self._renewed_s = trio.current_time()
+        if announcement == self._current:
+            return
+        if self._current is not None:
+            self._agent.detach_backend("replaced")
+        self._current = announcement
+        self._agent.attach_backend(self._make_backend(announcement), announcement)
+
+    def leave(self) -> None:
+        """Ends the announcement; the backend server gets no new task."""
+        if self._current is not None:
+            self._current = None
+            self._agent.detach_backend("left")
+
+    async def _announce(self, request: Request) -> Response:
+        try:
+            model = AnnouncementModel.model_validate_json(await request.body())
+        except pydantic.ValidationError as error:
+            return JSONResponse({"detail": str(error)}, 400)
+        self.announce(
+            Announcement(model.service, model.address, model.slots, model.speed_hint)
+        )
+        valid_s = self._agent.settings.announcement_valid_s
+        return JSONResponse({"valid_s": valid_s})
+
+    async def _leave(self, request: Request) -> Response:
+        self.leave()
+        return JSONResponse({"left": True})
+
+    async def _metrics(self, request: Request) -> Response:
+        text = self._agent.counters.exposition()
+        return Response(text, media_type=_METRICS_TYPE)
--- /dev/null
+++ b/gooseberrylink/backends/http_client.py
@@ -0,0 +1,122 @@
+"""Runs tasks at a backend server over HTTP, one connection a slot."""
+
+import contextlib
+from typing import Any
+
+import httpcore
+import msgspec
+import trio
+
+from gooseberrylink.backends.server import Announcement, BackendOutcome
+from gooseberrylink.peers.messages import Status
+
+_CONNECT_TIMEOUT_S = 1.0
+_FIRST_BYTE_EVENT = "http11.send_request_headers.started"
+_MAX_ERROR_CHARS = 200
+
+
+class HttpBackendServer:
+    """A backend server that takes tasks as POST /tasks.
+
+    Its answer is status 200 with {"result": ...}; 503 with the header
+    "X-Not-Started: 1" when it took nothing; anything else is a failure.
+    """
+
+    def __init__(self, announcement: Announcement, run_timeout_s: float):
+        host, _, port = announcement.address.rpartition(":")
+        self._origin = httpcore.Origin(b"http", host.encode(), int(port))
+        self._url = f"http://{announcement.address}/tasks"
+        self._run_timeout_s = run_timeout_s
+        self._idle: list[httpcore.AsyncHTTPConnection] = []
+
+    async def run(
+        self, task_id: str, job_id: str, customer: str, payload: Any
+    ) -> BackendOutcome:
+        """See BackendServer."""
+        body = msgspec.json.encode(
+            {
+                "task_id": task_id,
+                "job_id": job_id,
+                "customer": customer,
+                "payload": payload,
+            }
+        )
+        sent_s: list[float] = []
+
+        async def trace(event: str, info: dict) -> None:
+            if event == _FIRST_BYTE_EVENT:
+                sent_s.append(trio.current_time())
+
+        connection = await self._take_connection()
+        try:
+            outcome = await self._exchange(connection, body, trace)
+        except (httpcore.NetworkError, httpcore.TimeoutException) as error:
+            outcome = _broken(error, bool(sent_s))
+        except (httpcore.ProtocolError, httpcore.ConnectionNotAvailable) as error:
+            outcome = _broken(error, bool(sent_s))
+        await self._return_connection(connection, outcome)
+        if sent_s:
+            outcome.run_s = trio.current_time() - sent_s[0]
+        return outcome
+
+    async def aclose(self) -> None:
+        """Closes all idle connections."""
+        while self._idle:
+            await self._idle.pop().aclose()
+
+    async def _exchange(self, connection, body: bytes, trace) -> BackendOutcome:
+        timeout = {
+            "connect": _CONNECT_TIMEOUT_S,
+            "read": self._run_timeout_s,
+            "write": self._run_timeout_s,
+        }
+        response = await connection.request(
+            "POST",
+            self._url,
+            headers={"Content-Type": "application/json"},
+            content=body,
+            extensions={"timeout": timeout, "trace": trace},
+        )
+        return _read_outcome(response)
+
+    async def _take_connection(self) -> httpcore.AsyncHTTPConnection:
+        while self._idle:
+            connection = self._idle.pop()
+            # A server that closed the idle connection would fail the task
+            # after its first byte, so such a connection is not used again.
+            if not connection.has_expired() and connection.is_available():
+                return connection
+            await connection.aclose()
+        return httpcore.AsyncHTTPConnection(self._origin, keepalive_expiry=30.0)
+
+    async def _return_connection(self, connection, outcome: BackendOutcome) -> None:
+        is_reusable = outcome.status in (Status.DONE, Status.FAILED)
+        if is_reusable and connection.is_available():
+            self._idle.append(connection)
+            return
+        with contextlib.suppress(httpcore.NetworkError):
+            await connection.aclose()
+
+
+def _broken(error: Exception, has_sent: bool) -> BackendOutcome:
+    if not has_sent:
+        return BackendOutcome(Status.NOT_STARTED, reason="backend_unreachable")
+    reason = "backend_timeout"
+    if not isinstance(error, httpcore.TimeoutException):
+        reason = "backend_broke"
+    return BackendOutcome(Status.MAY_HAVE_RUN, reason=reason)
+
+
+def _read_outcome(response: httpcore.Response) -> BackendOutcome:
+    if response.status == 503 and (b"x-not-started", b"1") in [
+        (name.lower(), value) for name, value in response.headers
+    ]:
+        return BackendOutcome(Status.NOT_STARTED, reason="backend_refused")
+    if response.status != 200:
+        text = response.content[:_MAX_ERROR_CHARS].decode(errors="replace")
+        return BackendOutcome(Status.FAILED, text, reason="backend_error")
+    try:
+        answer = msgspec.json.decode(response.content)
+        return BackendOutcome(Status.DONE, answer["result"])
+    except (msgspec.DecodeError, KeyError, TypeError):
+        return BackendOutcome(Status.FAILED, reason="backend_answer_malformed")
--- /dev/null
+++ b/gooseberrylink/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Serves callers over HTTP."""
--- /dev/null
+++ b/gooseberrylink/callers/api.py
@@ -0,0 +1,135 @@
+"""Takes callers' jobs over HTTP/1.1 with JSON, and operators' questions."""
+
+import math
+
+import trio
+from starlette.applications import Starlette
+from starlette.requests import ClientDisconnect, Request
+from starlette.responses import JSONResponse, PlainTextResponse, Response
+from starlette.routing import Route
+
+from gooseberrylink.callers.models import answer_body, parse_job
+from gooseberrylink.callers.status_codes import http_status
+from gooseberrylink.codes import Code
+from gooseberrylink.entry import Entry
+from gooseberrylink.exceptions import RefusedError
+from gooseberrylink.logs import log_event
+from gooseberrylink.operators.status import entry_status
+from gooseberrylink.types import Answer, JobRequest
+
+_BODY_LIMIT_BEFORE_CONFIG_BYTES = 1024 * 1024
+_METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+
+class CallersApi:
+    """The HTTP interface of an entry."""
+
+    def __init__(self, entry: Entry):
+        self._entry = entry
+        self.app = Starlette(
+            routes=[
+                Route("/v1/jobs", self._submit, methods=["POST"]),
+                Route("/v1/jobs/{job_id}", self._cancel, methods=["DELETE"]),
+                Route("/v1/status", self._status),
+                Route("/v1/configuration", self._announce, methods=["POST"]),
+                Route("/healthz", self._health),
+                Route("/readyz", self._ready),
+                Route("/metrics", self._metrics),
+            ]
+        )
+
+    async def _submit(self, request: Request) -> Response:
+        try:
+            body = await self._read_body(request)
+            key = request.headers.get("Idempotency-Key", "")
+            job = parse_job(body, key, self._entry.configuration)
+        except RefusedError as error:
+            self._entry.counters.add("refusals", error.code.name.lower())
+            return _response(Answer(error.code, error.detail))
+        except ClientDisconnect:
+            return Response(status_code=400)
+        return _response(await self._run_until_disconnect(request, job))
+
+    async def _read_body(self, request: Request) -> bytes:
+        limit = _BODY_LIMIT_BEFORE_CONFIG_BYTES
+        declarations = self._entry.configuration.declarations
+        if declarations is not None:
+            limit = declarations.rules.limits.max_body_bytes
+        chunks: list[bytes] = []
+        size = 0
+        with trio.move_on_after(self._entry.settings.body_timeout_s) as scope:
+            async for chunk in request.stream():
+                size += len(chunk)
+                if size > limit:
+                    detail = f"the body is over {limit} bytes"
+                    raise RefusedError(Code.BODY_TOO_LARGE, detail)
+                chunks.append(chunk)
+        if scope.cancelled_caught:
+            raise RefusedError(Code.BODY_TOO_SLOW, "the body did not arrive in time")
+        return b"".join(chunks)
+
+    async def _run_until_disconnect(self, request: Request, job: JobRequest) -> Answer:
+        """Runs a job; a caller that hangs up cancels it."""
+        answer = Answer(Code.CANCELLED_MAY_HAVE_RUN, "the caller hung up")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._cancel_on_disconnect, request, nursery)
+            try:
+                answer = await self._entry.submit(job)
+            except Exception as error:
+                log_event("job_crashed", "ERROR", error=repr(error))
+                answer = Answer(Code.INTERNAL_ERROR, "internal error")
+            nursery.cancel_scope.cancel()
+        return answer
+
+    async def _cancel_on_disconnect(
+        self, request: Request, nursery: trio.Nursery
+    ) -> None:
+        while True:
+            message = await request.receive()
+            if message["type"] == "http.disconnect":
+                self._entry.counters.add("callers_hung_up")
+                nursery.cancel_scope.cancel()
+                return
+
+    async def _cancel(self, request: Request) -> Response:
+        customer = request.query_params.get("customer", "")
+        job_id = request.path_params["job_id"]
+        if self._entry.cancel(customer, job_id):
+            return JSONResponse({"cancelled": True}, 202)
+        detail = "no such job in progress at this entry"
+        return JSONResponse({"cancelled": False, "detail": detail}, 404)
+
+    async def _status(self, request: Request) -> Response:
+        return JSONResponse(entry_status(self._entry))
+
+    async def _announce(self, request: Request) -> Response:
+        """Takes a configuration that the platform has just accepted.
+
+        The operator's command sends it here, so that it comes into force even
+        if the platform fails before any entry has asked for it.
+        """
+        body = await request.json()
+        self._entry.adopt(int(body["version"]), str(body["text"]), "operator")
+        return JSONResponse({"version": self._entry.configuration.version})
+
+    async def _health(self, request: Request) -> Response:
+        return PlainTextResponse("ok\n")
+
+    async def _ready(self, request: Request) -> Response:
+        if self._entry.is_ready:
+            return PlainTextResponse("ready\n")
+        return PlainTextResponse("not ready\n", 503)
+
+    async def _metrics(self, request: Request) -> Response:
+        entry = self._entry
+        for percent in (50.0, 99.0):
+            seconds = entry.answer_time.percentile(percent)
+            entry.counters.set_gauge(f"answer_time_p{percent:.0f}_seconds", seconds)
+        return Response(entry.counters.exposition(), media_type=_METRICS_TYPE)
+
+
+def _response(answer: Answer) -> Response:
+    headers = {}
+    if answer.retry_after_s is not None:
+        headers["Retry-After"] = str(math.ceil(answer.retry_after_s))
+    return JSONResponse(answer_body(answer), http_status(answer.code), headers)
--- /dev/null
+++ b/gooseberrylink/callers/models.py
@@ -0,0 +1,105 @@
+"""Validates jobs that callers submit."""
+
+from typing import Annotated, Any
+
+import pydantic
+from pydantic import Field
+
+from gooseberrylink.codes import Code
+from gooseberrylink.exceptions import RefusedError
+from gooseberrylink.operators.configuration import Configuration
+from gooseberrylink.types import Answer, JobRequest, TaskSpec
+from gooseberrylink.yaml_file import StrictModel
+
+_DEFAULT_DEADLINE_S = 30.0
+_MAX_FAULTS = 5
+
+
+class TaskModel(StrictModel):
+    """One task of a job.
+
+    Attributes:
+        payload: Any JSON value; goes to the backend server as it is.
+        declared_s: Run time that the caller expects, in seconds.
+    """
+
+    payload: Any = None
+    declared_s: Annotated[float, Field(ge=0, le=86_400)] = 0.0
+
+
+class JobModel(StrictModel):
+    """A job as callers write it, in JSON or YAML.
+
+    Attributes:
+        deadline_s: Seconds within which the answer is useful; None for the
+            default of the service.
+        repeatable: Whether a lost job may run again when resubmitted.
+        job_id: The caller's name for it, by which it can be cancelled.
+    """
+
+    customer: Annotated[str, Field(min_length=1, max_length=64)]
+    service: Annotated[str, Field(min_length=1, max_length=64)]
+    tasks: Annotated[list[TaskModel], Field(min_length=1)]
+    deadline_s: float | None = None
+    repeatable: bool = True
+    job_id: Annotated[str, Field(max_length=128)] = ""
+
+
+def parse_job(
+    body: bytes, idempotency_key: str, configuration: Configuration
+) -> JobRequest:
+    """Parses the body of a submission.
+
+    Raises:
+        RefusedError: The body is no valid job.
+    """
+    try:
+        model = JobModel.model_validate_json(body)
+    except pydantic.ValidationError as error:
+        faults = [_fault(item) for item in error.errors()[:_MAX_FAULTS]]
+        raise RefusedError(Code.MALFORMED_JOB, "; ".join(faults)) from None
+    return to_request(model, idempotency_key, configuration)
+
+
+def to_request(
+    model: JobModel, idempotency_key: str, configuration: Configuration
+) -> JobRequest:
+    """Turns a validated job into a request.
+
+    Raises:
+        RefusedError: The deadline has passed already.
+    """
+    deadline_s = model.deadline_s
+    if deadline_s is None:
+        service = configuration.service(model.service)
+        deadline_s = service.default_deadline_s if service else _DEFAULT_DEADLINE_S
+    if not deadline_s > 0:
+        detail = "deadline_s has passed: expected seconds from now, over 0"
+        raise RefusedError(Code.DEADLINE_INVALID, detail)
+    return JobRequest(
+        customer=model.customer,
+        service=model.service,
+        tasks=[TaskSpec(task.payload, task.declared_s) for task in model.tasks],
+        deadline_s=deadline_s,
+        repeatable=model.repeatable,
+        idempotency_key=idempotency_key,
+        job_id=model.job_id,
+    )
+
+
+def answer_body(answer: Answer) -> dict[str, Any]:
+    """Returns an answer as callers read it."""
+    body: dict[str, Any] = {"code": int(answer.code), "name": answer.code.name}
+    if answer.code is Code.OK:
+        body["results"] = answer.results
+        return body
+    body["ran"] = answer.truth.value
+    body["detail"] = answer.detail
+    if answer.retry_after_s is not None:
+        body["retry_after_s"] = round(answer.retry_after_s, 3)
+    return body
+
+
+def _fault(error: dict) -> str:
+    where = ".".join(str(part) for part in error["loc"]) or "body"
+    return f"{where}: {error['msg']}"
--- /dev/null
+++ b/gooseberrylink/claims.py
@@ -0,0 +1,270 @@
+"""Claims the keys of requests that must not repeat, in the platform's table.
+
+A key is claimed by a conditional insert before the first task starts. Claims
+of one entry that come close together share a transaction.
+"""
+
+import dataclasses
+import math
+from typing import Any
+
+import trio
+from returns.result import Failure, Success
+
+from gooseberrylink.codes import Code, Truth
+from gooseberrylink.counters import Counters
+from gooseberrylink.logs import log_event
+from gooseberrylink.platform.client import Platform
+from gooseberrylink.platform.results import PlatformError, Put, Row, Trouble
+from gooseberrylink.types import Answer
+
+TABLE = "claims"
+_MAX_GROUP = 64
+_PAUSE_S = 0.1
+_MAX_PAUSE_S = 0.5
+_BACKGROUND_S = 60.0
+
+_RUNNING = "running"
+_ANSWERED = "answered"
+_RELEASED = "released"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Claim:
+    """A key that this submission holds.
+
+    Attributes:
+        version: Version of the row that holds it.
+    """
+
+    key: str
+    submission: str
+    version: int
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Pending:
+    """One write that waits for its transaction."""
+
+    put: Put
+    result: Any = None
+    done: trio.Event = dataclasses.field(default_factory=trio.Event)
+
+
+class Claims:
+    """The claims of one entry."""
+
+    def __init__(self, platform: Platform, group_s: float, counters: Counters):
+        self._platform = platform
+        self._group_s = group_s
+        self._counters = counters
+        self._send, self._receive = trio.open_memory_channel[_Pending](math.inf)
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Writes claims in groups until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            carried: list[_Pending] = []
+            while True:
+                group = await self._collect(carried)
+                carried = await self._write_group(group)
+
+    async def acquire(
+        self, customer: str, key: str, submission: str, expires_s: float
+    ) -> Claim | Answer:
+        """Claims a key, or tells what became of the request that has it.
+
+        Args:
+            customer: Owner of the key.
+            key: The caller's idempotency key.
+            submission: Id of this submission; makes the write idempotent.
+            expires_s: When to stop trying, on the entry's clock.
+
+        Returns:
+            The claim, if this submission may run. Else the answer of the
+            earlier submission, or a code that says whether it ran.
+        """
+        row_key = f"{customer}/{key}"
+        claim = Claim(row_key, submission, 0)
+        with trio.move_on_at(expires_s):
+            return await self._acquire(claim)
+        self._counters.add("claims", "timed_out")
+        self._nursery.start_soon(self._release_if_mine, claim)
+        return await self._late_answer(claim)
+
+    def settle(self, claim: Claim, answer: Answer) -> None:
+        """Records the outcome of a claimed request, in the background."""
+        state = _ANSWERED
+        if answer.truth is Truth.NOT_RUN:
+            # Nothing was started, so a new submission may have the key.
+            state = _RELEASED
+        value = _row_value(claim.submission, state, answer)
+        self._nursery.start_soon(self._record, claim, value)
+
+    async def _acquire(self, claim: Claim) -> Claim | Answer:
+        if_version = 0
+        pause_s = _PAUSE_S
+        may_be_written = False
+        while True:
+            value = _row_value(claim.submission, _RUNNING, None)
+            written = await self._write(Put(TABLE, claim.key, value, if_version))
+            if isinstance(written, Success):
+                self._counters.add("claims", "granted")
+                return dataclasses.replace(claim, version=written.unwrap())
+            trouble = written.failure().trouble
+            if trouble is Trouble.UNAVAILABLE:
+                if may_be_written:
+                    self._nursery.start_soon(self._release_if_mine, claim)
+                return self._refuse("the platform's table can't be reached")
+            may_be_written = may_be_written or trouble is Trouble.UNKNOWN_OUTCOME
+            if_version = 0
+            match await self._platform.read(TABLE, claim.key):
+                case Success(row):
+                    verdict = self._judge(claim, row)
+                    if isinstance(verdict, int):
+                        if_version = verdict
+                        continue
+                    if verdict is not None:
+                        return verdict
+                case Failure(PlatformError(trouble=trouble)):
+                    self._counters.add("retries", f"claim_{trouble.name.lower()}")
+            await trio.sleep(pause_s)
+            pause_s = min(2 * pause_s, _MAX_PAUSE_S)
+
+    def _judge(self, claim: Claim, row: Row) -> Claim | Answer | int | None:
+        """Reads a row that is in the way.
+
+        Returns:
+            The claim if the row is this submission's own; the recorded answer;
+            the version to overwrite; or None to look again later.
+        """
+        state = row.value["state"]
+        if row.value["submission"] == claim.submission and state == _RUNNING:
+            # The write had taken effect, and only its answer was lost.
+            self._counters.add("claims", "granted_on_read_back")
+            return dataclasses.replace(claim, version=row.version)
+        if state == _RELEASED:
+            return row.version
+        if state == _ANSWERED:
+            self._counters.add("claims", "answered_before")
+            return _recorded_answer(row.value)
+        return None
+
+    async def _late_answer(self, claim: Claim) -> Answer:
+        match await self._platform.read(TABLE, claim.key):
+            case Success(Row(value=value)) if value["submission"] != claim.submission:
+                if value["state"] == _ANSWERED:
+                    return _recorded_answer(value)
+                detail = "an earlier submission with this key has no answer yet"
+                return Answer(Code.CLAIMED_ELSEWHERE, detail)
+            case Success(_) | Failure(PlatformError(trouble=Trouble.NOT_FOUND)):
+                return self._refuse("the claim was not settled in time")
+        # Whether an earlier submission holds the key is not known.
+        detail = "the platform's table does not answer"
+        return Answer(Code.CLAIM_IN_DOUBT, detail)
+
+    def _refuse(self, detail: str) -> Answer:
+        self._counters.add("claims", "refused")
+        return Answer(Code.CLAIM_UNAVAILABLE, detail, retry_after_s=1.0)
+
+    async def _record(self, claim: Claim, value: dict) -> None:
+        with trio.move_on_after(_BACKGROUND_S):
+            while True:
+                put = Put(TABLE, claim.key, value, claim.version)
+                written = await self._write(put)
+                if isinstance(written, Success):
+                    return
+                if written.failure().trouble is Trouble.CONFLICT:
+                    # An earlier try took effect after all.
+                    return
+                self._counters.add("retries", "claim_record")
+                await trio.sleep(_MAX_PAUSE_S)
+        log_event("claim_not_recorded", "WARNING", key=claim.key)
+
+    async def _release_if_mine(self, claim: Claim) -> None:
+        """Frees a key whose claim may have been written, though nothing ran."""
+        with trio.move_on_after(_BACKGROUND_S):
+            while True:
+                match await self._platform.read(TABLE, claim.key):
+                    case Success(Row(value=value, version=version)):
+                        is_mine = value["submission"] == claim.submission
+                        if not is_mine or value["state"] != _RUNNING:
+                            return
+                        held = dataclasses.replace(claim, version=version)
+                        answer = Answer(Code.CLAIM_UNAVAILABLE)
+                        released = _row_value(claim.submission, _RELEASED, answer)
+                        await self._record(held, released)
+                        return
+                await trio.sleep(_MAX_PAUSE_S)
+
+    # Grouping.
+
+    async def _write(self, put: Put):
+        pending = _Pending(put)
+        self._send.send_nowait(pending)
+        await pending.done.wait()
+        return pending.result
+
+    async def _collect(self, carried: list[_Pending]) -> list[_Pending]:
+        group = list(carried)
+        if not group:
+            group.append(await self._receive.receive())
+            await trio.sleep(self._group_s)
+        while len(group) < _MAX_GROUP:
+            try:
+                group.append(self._receive.receive_nowait())
+            except trio.WouldBlock:
+                break
+        return group
+
+    async def _write_group(self, group: list[_Pending]) -> list[_Pending]:
+        """Writes a group; returns those that must go into the next one."""
+        now, later = _split_by_key(group)
+        result = await self._platform.write([pending.put for pending in now])
+        self._counters.add("claim_transactions")
+        match result:
+            case Success(versions):
+                for pending, version in zip(now, versions, strict=True):
+                    _finish(pending, Success(version))
+            case Failure(PlatformError(trouble=Trouble.CONFLICT) as error):
+                for index, pending in enumerate(now):
+                    if index in error.conflicts:
+                        _finish(pending, Failure(error))
+                    else:
+                        later.append(pending)
+            case Failure(error):
+                for pending in now:
+                    _finish(pending, Failure(error))
+        return later
+
+
+def _split_by_key(group: list[_Pending]) -> tuple[list[_Pending], list[_Pending]]:
+    """Keeps a second write of the same row for a later transaction."""
+    now: dict[str, _Pending] = {}
+    later: list[_Pending] = []
+    for pending in group:
+        if pending.put.key in now:
+            later.append(pending)
+        else:
+            now[pending.put.key] = pending
+    return list(now.values()), later
+
+
+def _finish(pending: _Pending, result) -> None:
+    pending.result = result
+    pending.done.set()
+
+
+def _row_value(submission: str, state: str, answer: Answer | None) -> dict:
+    value: dict[str, Any] = {"submission": submission, "state": state}
+    if answer is not None:
+        value["code"] = int(answer.code)
+        value["detail"] = answer.detail
+        value["results"] = answer.results
+    return value
+
+
+def _recorded_answer(value: dict) -> Answer:
+    return Answer(Code(value["code"]), value["detail"], value["results"])
--- /dev/null
+++ b/gooseberrylink/cmdline.py
@@ -0,0 +1,41 @@
+"""Defines the command line."""
+
+import importlib
+
+from cleo.application import Application
+from cleo.loaders.factory_command_loader import FactoryCommandLoader
+
+from gooseberrylink import __version__
+
+_COMMANDS = {
+    "entry": "gooseberrylink.commands.daemons:EntryCommand",
+    "agent": "gooseberrylink.commands.daemons:AgentCommand",
+    "standin-platform": "gooseberrylink.commands.standins:PlatformCommand",
+    "standin-backend": "gooseberrylink.commands.standins:BackendCommand",
+    "submit": "gooseberrylink.commands.submit:SubmitCommand",
+    "check": "gooseberrylink.commands.configuration:CheckCommand",
+    "apply": "gooseberrylink.commands.configuration:ApplyCommand",
+    "status": "gooseberrylink.commands.inspect:StatusCommand",
+    "counters": "gooseberrylink.commands.inspect:CountersCommand",
+    "demo": "gooseberrylink.commands.bench:DemoCommand",
+    "bench": "gooseberrylink.commands.bench:BenchCommand",
+}
+
+
+def _factory(target: str):
+    module_name, _, class_name = target.partition(":")
+
+    def make():
+        return getattr(importlib.import_module(module_name), class_name)()
+
+    return make
+
+
+def main() -> None:
+    """Runs the command line and exits with its code."""
+    application = Application("gooseberrylink", __version__)
+    loader = FactoryCommandLoader(
+        {name: _factory(target) for name, target in _COMMANDS.items()}
+    )
+    application.set_command_loader(loader)
+    application.run()
--- /dev/null
+++ b/gooseberrylink/codes.py
@@ -0,0 +1,75 @@
+"""Numbers every outcome of a job and says whether the job ran."""
+
+import enum
+
+
+class Truth(enum.StrEnum):
+    """Whether any task of a job was started at a backend server."""
+
+    NOT_RUN = "not run"
+    RAN = "ran"
+    MAY_HAVE_RUN = "may have run"
+
+
+class Code(enum.IntEnum):
+    """Result codes; docs/ERRORS.md explains each one to callers.
+
+    The hundreds give the truth: 1xx not run, 2xx ran, 3xx may have run.
+    """
+
+    OK = 0
+    MALFORMED_JOB = 101
+    UNKNOWN_CUSTOMER = 102
+    UNKNOWN_SERVICE = 103
+    TOO_MANY_TASKS = 104
+    IDEMPOTENCY_KEY_MISSING = 105
+    DEADLINE_INVALID = 106
+    BODY_TOO_LARGE = 107
+    BODY_TOO_SLOW = 108
+    DUPLICATE_JOB_ID = 109
+    OVER_QUOTA = 111
+    OVERLOADED = 112
+    SHUTTING_DOWN = 113
+    NOT_READY = 114
+    EXPIRED_NOT_RUN = 115
+    CLAIM_UNAVAILABLE = 116
+    CANCELLED_NOT_RUN = 117
+    NO_BACKEND_SERVER = 118
+    TASK_FAILED = 201
+    EXPIRED_RAN = 202
+    CANCELLED_RAN = 203
+    ALREADY_RAN = 204
+    AGENT_LOST = 301
+    BACKEND_BROKE = 302
+    EXPIRED_MAY_HAVE_RUN = 303
+    CANCELLED_MAY_HAVE_RUN = 304
+    CLAIMED_ELSEWHERE = 305
+    CLAIM_IN_DOUBT = 306
+    INTERNAL_ERROR = 399
+
+    @property
+    def truth(self) -> Truth:
+        """Whether the job ran, by the hundreds of the code."""
+        hundreds = self // 100
+        if hundreds == 1:
+            return Truth.NOT_RUN
+        if hundreds == 3:
+            return Truth.MAY_HAVE_RUN
+        return Truth.RAN
+
+
+EXPIRED_BY_TRUTH = {
+    Truth.NOT_RUN: Code.EXPIRED_NOT_RUN,
+    Truth.RAN: Code.EXPIRED_RAN,
+    Truth.MAY_HAVE_RUN: Code.EXPIRED_MAY_HAVE_RUN,
+}
+CANCELLED_BY_TRUTH = {
+    Truth.NOT_RUN: Code.CANCELLED_NOT_RUN,
+    Truth.RAN: Code.CANCELLED_RAN,
+    Truth.MAY_HAVE_RUN: Code.CANCELLED_MAY_HAVE_RUN,
+}
+LOST_BY_TRUTH = {
+    Truth.NOT_RUN: Code.NO_BACKEND_SERVER,
+    Truth.RAN: Code.AGENT_LOST,
+    Truth.MAY_HAVE_RUN: Code.AGENT_LOST,
+}
--- /dev/null
+++ b/gooseberrylink/commands/configuration.py
@@ -0,0 +1,145 @@
+"""Checks and applies declarations from the command line."""
+
+import difflib
+import json
+import pathlib
+import secrets
+
+import trio
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+
+from gooseberrylink.commands.exit_codes import Exit
+from gooseberrylink.counters import Counters
+from gooseberrylink.exceptions import ConfigError
+from gooseberrylink.operators.declarations import Declarations
+from gooseberrylink.operators.http import UnreachableError, call_entry
+from gooseberrylink.operators.store import (
+    ApplyResult,
+    ApplyStatus,
+    ConfigurationStore,
+)
+from gooseberrylink.platform.client import HttpPlatform
+from gooseberrylink.yaml_file import parse_model
+
+_EXITS = {
+    ApplyStatus.ACCEPTED: Exit.OK,
+    ApplyStatus.CONFLICT: Exit.CONFLICT,
+    ApplyStatus.NOT_APPLIED: Exit.NOT_APPLIED,
+    ApplyStatus.UNKNOWN: Exit.APPLY_UNKNOWN,
+}
+_FILE = argument("file", "Declarations (YAML); see examples/.")
+_JSON = option("json", None, "Print JSON.")
+
+
+class CheckCommand(Command):
+    """Checks declarations without a network."""
+
+    name = "check"
+    description = "Checks declarations and names every fault with line and field."
+    help = "Needs no network. Exit code 0 if the file is good, 3 if not."
+    arguments = [_FILE]
+    options = [_JSON]
+
+    def handle(self) -> int:
+        """Checks the file."""
+        text, faults = _read_checked(self.argument("file"))
+        if self.option("json"):
+            self.line(json.dumps({"valid": not faults, "faults": faults}))
+        else:
+            for fault in faults:
+                self.line_error(fault)
+            if not faults:
+                self.line(f"{self.argument('file')}: good")
+        return Exit.INVALID_FILE if faults else Exit.OK
+
+
+class ApplyCommand(Command):
+    """Makes declarations the configuration in force."""
+
+    name = "apply"
+    description = "Makes declarations the configuration in force everywhere."
+    help = (
+        "Nothing is applied unless the whole file is good. If another operator "
+        "was faster, prints what changed since --base (exit code 20). Exit code "
+        "21: the platform can't be reached and nothing was applied; 22: its answer "
+        "was lost and can't be read back; run `status`, then apply again."
+    )
+    arguments = [_FILE]
+    options = [
+        option("platform", "p", "host:port", flag=False, default="127.0.0.1:7400"),
+        option("entry", "e", "Entry to tell at once", flag=False, multiple=True),
+        option("base", "b", "Version that this change was made from", flag=False),
+        option("timeout", "t", "Seconds", flag=False, default="10"),
+        _JSON,
+    ]
+
+    def handle(self) -> int:
+        """Applies the file."""
+        text, faults = _read_checked(self.argument("file"))
+        if faults:
+            for fault in faults:
+                self.line_error(fault)
+            return Exit.INVALID_FILE
+        return trio.run(self._apply, text)
+
+    async def _apply(self, text: str) -> int:
+        platform = HttpPlatform(self.option("platform"), Counters("operator", "apply"))
+        store = ConfigurationStore(platform)
+        base = int(self.option("base")) if self.option("base") else None
+        result = await store.apply(
+            text, secrets.token_hex(8), base, float(self.option("timeout"))
+        )
+        if result.status is ApplyStatus.ACCEPTED:
+            await self._tell_entries(result.version, text)
+        self._print(result)
+        if result.status is ApplyStatus.CONFLICT:
+            await self._print_difference(store, result)
+        return _EXITS[result.status]
+
+    async def _tell_entries(self, version: int, text: str) -> None:
+        for address in self.option("entry"):
+            body = {"version": version, "text": text}
+            try:
+                await call_entry(address, "POST", "/v1/configuration", body)
+            except UnreachableError as error:
+                self.line_error(f"not told, will ask the platform itself: {error}")
+
+    def _print(self, result: ApplyResult) -> None:
+        if self.option("json"):
+            fields = {
+                "status": result.status.value,
+                "version": result.version,
+                "base": result.base,
+            }
+            self.line(json.dumps(fields))
+            return
+        self.line(
+            f"{result.status.value}: version {result.version}, based on {result.base}"
+        )
+
+    async def _print_difference(
+        self, store: ConfigurationStore, result: ApplyResult
+    ) -> None:
+        before = await store.read_version(result.base) or ""
+        after = await store.read_version(result.version) or ""
+        difference = difflib.unified_diff(
+            before.splitlines(),
+            after.splitlines(),
+            f"version {result.base}",
+            f"version {result.version}",
+            lineterm="",
+        )
+        for line in difference:
+            self.line_error(line.replace("<", "\\<"))
+
+
+def _read_checked(name: str) -> tuple[str, list[str]]:
+    try:
+        text = pathlib.Path(name).read_text(encoding="utf-8")
+        parse_model(text, name, Declarations)
+    except (OSError, UnicodeDecodeError) as error:
+        return "", [f"{name}: can't be read: {error}"]
+    except ConfigError as error:
+        return "", error.faults
+    return text, []
--- /dev/null
+++ b/gooseberrylink/commands/exit_codes.py
@@ -0,0 +1,28 @@
+"""Numbers the exit codes of the command line; docs/ERRORS.md lists them."""
+
+import enum
+
+from gooseberrylink.codes import Truth
+
+
+class Exit(enum.IntEnum):
+    """Exit codes."""
+
+    OK = 0
+    USAGE = 2
+    INVALID_FILE = 3
+    UNREACHABLE = 4
+    NOT_RUN = 10
+    RAN = 11
+    MAY_HAVE_RUN = 12
+    CONFLICT = 20
+    NOT_APPLIED = 21
+    APPLY_UNKNOWN = 22
+    BENCH_FAILED = 30
+
+
+EXIT_BY_TRUTH = {
+    Truth.NOT_RUN: Exit.NOT_RUN,
+    Truth.RAN: Exit.RAN,
+    Truth.MAY_HAVE_RUN: Exit.MAY_HAVE_RUN,
+}
--- /dev/null
+++ b/gooseberrylink/commands/inspect.py
@@ -0,0 +1,109 @@
+"""Shows the state and counters of entries on the command line."""
+
+import json
+
+import trio
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from gooseberrylink.commands.exit_codes import Exit
+from gooseberrylink.operators.http import UnreachableError, call_entry
+
+_ENTRIES = option(
+    "entry", "e", "host:port of an entry; may be repeated", flag=False, multiple=True
+)
+_DEFAULT_ENTRY = "127.0.0.1:7401"
+
+
+class StatusCommand(Command):
+    """Shows the configuration in force and the state of each process."""
+
+    name = "status"
+    description = "Shows the configuration in force, queues and workers by process."
+    help = "Asks each entry; agents are shown as the entry sees them."
+    options = [_ENTRIES, option("json", None, "Print JSON.")]
+
+    def handle(self) -> int:
+        """Asks the entries."""
+        return trio.run(self._show)
+
+    async def _show(self) -> int:
+        states, exit_code = [], Exit.OK
+        for address in self.option("entry") or [_DEFAULT_ENTRY]:
+            try:
+                _, body = await call_entry(address, "GET", "/v1/status")
+                states.append(json.loads(body))
+            except UnreachableError as error:
+                self.line_error(f"<error>{error}</error>")
+                exit_code = Exit.UNREACHABLE
+        if self.option("json"):
+            self.line(json.dumps(states, indent=2))
+        else:
+            for state in states:
+                self._print(state)
+        return exit_code
+
+    def _print(self, state: dict) -> None:
+        flags = "ready" if state["is_ready"] else "not ready"
+        if state["is_draining"]:
+            flags += ", draining"
+        self.line(
+            f"<info>entry {state['entry']}</info>: configuration"
+            f" {state['config_version']}, {flags}, {state['jobs']} jobs"
+        )
+        for lane in state["lanes"]:
+            self.line(
+                f"  service {lane['service']}: {lane['queued_tasks']} queued"
+                f" ({lane['queued_work_s']} s),"
+                f" {lane['in_flight_tasks']} in flight, {lane['slots']} slots"
+            )
+        rows = [
+            [
+                agent["worker"],
+                agent["service"],
+                agent["data_centre"],
+                str(agent["config_version"]),
+                _agent_state(agent),
+                f"{agent['free_slots']}/{agent['slots']}",
+                str(agent["in_flight_tasks"]),
+                f"{agent['relative_speed']:.2f}",
+            ]
+            for agent in state["agents"]
+        ]
+        headers = ["worker", "service", "data centre", "config", "state"]
+        self.render_table([*headers, "free", "in flight", "speed"], rows)
+
+
+def _agent_state(agent: dict) -> str:
+    if not agent["is_connected"]:
+        return "cut off"
+    if agent["is_quarantined"]:
+        return "quarantined"
+    return "up" if agent["slots"] else "no backend"
+
+
+class CountersCommand(Command):
+    """Prints counters."""
+
+    name = "counters"
+    description = "Prints the counters of entries, by reason."
+    help = "The same text that monitoring scrapes from /metrics."
+    options = [_ENTRIES]
+
+    def handle(self) -> int:
+        """Asks the entries."""
+        return trio.run(self._show)
+
+    async def _show(self) -> int:
+        exit_code = Exit.OK
+        for address in self.option("entry") or [_DEFAULT_ENTRY]:
+            try:
+                _, body = await call_entry(address, "GET", "/metrics")
+            except UnreachableError as error:
+                self.line_error(f"<error>{error}</error>")
+                exit_code = Exit.UNREACHABLE
+                continue
+            for line in body.decode().splitlines():
+                if not line.startswith("#"):
+                    self.line(line)
+        return exit_code
--- /dev/null
+++ b/gooseberrylink/commands/standins.py
@@ -0,0 +1,86 @@
+"""Runs the stand-ins from the command line, for trying things by hand."""
+
+import signal
+
+import trio
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from gooseberrylink.commands.exit_codes import Exit
+from gooseberrylink.http_server import serve_http
+from gooseberrylink.logs import configure_logs, log_event
+from gooseberrylink.standins.backend import BackendApi, FakeBackend
+from gooseberrylink.standins.platform import MemoryPlatform, PlatformApi
+
+
+async def _wait_for_signal() -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        await anext(signals)
+
+
+class PlatformCommand(Command):
+    """Runs the platform's stand-in."""
+
+    name = "standin-platform"
+    description = "Runs a stand-in for the platform's table service and object store."
+    help = (
+        "Keeps everything in memory. PUT /v1/mode with "
+        '{"mode": "up|down|loses-answers|loses-requests", "latency_s": 0} '
+        "changes how it behaves."
+    )
+    options = [
+        option("listen", None, "host:port", flag=False, default="127.0.0.1:7400")
+    ]
+
+    def handle(self) -> int:
+        """Serves until SIGTERM."""
+        configure_logs()
+        trio.run(self._serve)
+        return Exit.OK
+
+    async def _serve(self) -> None:
+        app = PlatformApi(MemoryPlatform()).app
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(
+                serve_http, app, self.option("listen"), _wait_for_signal
+            )
+            log_event("platform_standin_started", address=address)
+
+
+class BackendCommand(Command):
+    """Runs a backend server's stand-in."""
+
+    name = "standin-backend"
+    description = "Runs a stand-in for a backend server, announced to its agent."
+    help = (
+        'A task\'s payload may be {"run_s": 0.2, "value": ..., "fail": false}. '
+        "GET /starts lists every start."
+    )
+    options = [
+        option("listen", None, "host:port", flag=False, default="127.0.0.1:0"),
+        option("agent", None, "host:port of the agent beside it", flag=False),
+        option("service", None, "Service that it offers", flag=False),
+        option("slots", None, "Tasks at once", flag=False, default="8"),
+        option("speed", None, "Relative speed", flag=False, default="1.0"),
+    ]
+
+    def handle(self) -> int:
+        """Serves until SIGTERM."""
+        if not self.option("agent") or not self.option("service"):
+            self.line_error("<error>--agent and --service are needed</error>")
+            return Exit.USAGE
+        configure_logs()
+        trio.run(self._serve)
+        return Exit.OK
+
+    async def _serve(self) -> None:
+        backend = FakeBackend("standin", float(self.option("speed")))
+        api = BackendApi(backend, self.option("service"), int(self.option("slots")))
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(
+                serve_http, api.app, self.option("listen"), trio.sleep_forever
+            )
+            log_event("backend_standin_started", address=address)
+            nursery.start_soon(api.announce_forever, self.option("agent"), address)
+            await _wait_for_signal()
+            nursery.cancel_scope.cancel()
--- /dev/null
+++ b/gooseberrylink/commands/submit.py
@@ -0,0 +1,65 @@
+"""Submits a job from the command line."""
+
+import pathlib
+import sys
+
+import msgspec
+import trio
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+
+from gooseberrylink.callers.models import JobModel
+from gooseberrylink.codes import Code
+from gooseberrylink.commands.exit_codes import EXIT_BY_TRUTH, Exit
+from gooseberrylink.exceptions import ConfigError
+from gooseberrylink.operators.http import UnreachableError, call_entry
+from gooseberrylink.yaml_file import read_model
+
+_MARGIN_S = 10.0
+_DEFAULT_WAIT_S = 130.0
+
+
+class SubmitCommand(Command):
+    """Submits a job and prints its answer."""
+
+    name = "submit"
+    description = "Submits a job (JSON or YAML) and prints its whole answer."
+    help = (
+        "Prints the answer as JSON on standard output. Exit code 0 means whole; "
+        "10 not run, 11 ran, 12 may have run; 4 the entry can't be reached."
+    )
+    arguments = [argument("file", "File with the job; examples/job.yaml is one.")]
+    options = [
+        option("entry", "e", "host:port", flag=False, default="127.0.0.1:7401"),
+        option("key", "k", "Idempotency key", flag=False, default=""),
+    ]
+
+    def handle(self) -> int:
+        """Submits the job."""
+        try:
+            job = read_model(pathlib.Path(self.argument("file")), JobModel)
+        except ConfigError as error:
+            for fault in error.faults:
+                self.line_error(fault)
+            return Exit.INVALID_FILE
+        if sys.stderr.isatty():
+            self.line_error(f"submitting {len(job.tasks)} tasks ...")
+        try:
+            _, body = trio.run(self._send, job)
+        except UnreachableError as error:
+            self.line_error(f"<error>{error}</error>")
+            return Exit.MAY_HAVE_RUN if error.has_sent else Exit.UNREACHABLE
+        sys.stdout.write(body.decode() + "\n")
+        code = Code(msgspec.json.decode(body)["code"])
+        return Exit.OK if code is Code.OK else EXIT_BY_TRUTH[code.truth]
+
+    async def _send(self, job: JobModel) -> tuple[int, bytes]:
+        key = self.option("key")
+        return await call_entry(
+            self.option("entry"),
+            "POST",
+            "/v1/jobs",
+            job.model_dump(),
+            {"Idempotency-Key": key} if key else {},
+            (job.deadline_s or _DEFAULT_WAIT_S) + _MARGIN_S,
+        )
--- /dev/null
+++ b/gooseberrylink/config.py
@@ -0,0 +1,123 @@
+"""Defines the settings files of the daemons."""
+
+import re
+from typing import Annotated, Literal
+
+from pydantic import AfterValidator, Field
+
+from gooseberrylink.failures import FailurePolicy
+from gooseberrylink.yaml_file import StrictModel
+
+_ADDRESS = re.compile(r"^[0-9a-zA-Z_.:\[\]-]+:\d{1,5}$")
+
+
+def _check_address(value: str) -> str:
+    if not _ADDRESS.match(value):
+        raise ValueError("expected host:port")
+    return value
+
+
+Address = Annotated[str, AfterValidator(_check_address)]
+Seconds = Annotated[float, Field(gt=0, allow_inf_nan=False)]
+Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,63}$")]
+PolicyName = Literal["late-binding", "least-in-flight", "random"]
+
+
+class PeerSettings(StrictModel):
+    """What both daemons need to keep links.
+
+    Attributes:
+        lease_s: How long an agent holds a task without word from its entry.
+        busy_heartbeat_s: Longest silence on a link while tasks are under way.
+        idle_heartbeat_s: Longest silence on an idle link.
+        max_misses: Silent intervals after which a link is closed.
+        drain_s: How long a shutdown waits for work in progress.
+    """
+
+    data_centre: Name
+    lease_s: Seconds = 2.0
+    busy_heartbeat_s: Seconds = 1.0
+    idle_heartbeat_s: Seconds = 10.0
+    max_misses: int = Field(default=4, ge=2)
+    drain_s: Seconds = 30.0
+    log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+
+
+class AgentSettings(PeerSettings):
+    """Settings of an agent.
+
+    Attributes:
+        worker: Name of the worker that the agent runs on, as in the inventory.
+        listen: Where the backend server beside it announces itself.
+        entries: Addresses of some entries; the others are learned from them.
+        max_entries: How many entries it links to.
+        retention_s: How long results wait for their entry; must exceed the
+            longest deadline that the rules allow.
+        announcement_valid_s: How long an announcement holds without renewal.
+        run_timeout_s: How long a task may run before its fate is given up.
+        grant_s: How long a freed slot stays reserved for one entry.
+        demand_valid_s: How long an entry's word of its queue counts.
+        pressure_ratio: How much longer the queue of another entry must be,
+            for its share, to get a slot that an entry's own task left.
+    """
+
+    worker: Name
+    listen: Address = "127.0.0.1:0"
+    entries: list[Address] = Field(min_length=1)
+    max_entries: int = Field(default=8, ge=1)
+    retention_s: Seconds = 600.0
+    max_records: int = Field(default=20_000, ge=1)
+    max_held: int = Field(default=1_000, ge=0)
+    announcement_valid_s: Seconds = 3.0
+    run_timeout_s: Seconds = 300.0
+    grant_s: Seconds = 0.05
+    demand_valid_s: Seconds = 1.0
+    pressure_ratio: float = Field(default=1.5, ge=1.0)
+    failures_in_row: int = Field(default=3, ge=1)
+    quarantine_customers: int = Field(default=2, ge=1)
+    probation_s: Seconds = 5.0
+    max_quarantined_share: float = Field(default=0.34, ge=0, le=1)
+
+    def failure_policy(self) -> FailurePolicy:
+        """Returns the part of the settings that governs quarantine."""
+        return FailurePolicy(
+            failures_in_row=self.failures_in_row,
+            distinct_customers=self.quarantine_customers,
+            probation_s=self.probation_s,
+            max_quarantined_share=self.max_quarantined_share,
+        )
+
+
+class EntrySettings(PeerSettings):
+    """Settings of an entry.
+
+    Attributes:
+        entry: Name of the entry.
+        listen: Where callers and operators connect, by HTTP.
+        listen_agents: Where agents connect, by gRPC.
+        entries: Addresses (listen_agents) of other entries, if known.
+        platform: Address of the platform's table service and object store.
+        policy: How tasks are assigned to workers.
+        config_poll_s: How often the platform is asked for a new configuration.
+        ready_peers: How many agents must have been heard, during an outage of
+            the platform, before the newest configuration among theirs counts.
+        drain_notice_s: How long a shutdown goes on taking jobs after it
+            reports "not ready", until the balancer has noticed.
+        revoke_wait_s: How long a late answer waits to learn what started.
+        claim_group_s: How long claims are collected into one transaction.
+        retry_share: Retries allowed for each assignment.
+    """
+
+    entry: Name
+    listen: Address = "127.0.0.1:0"
+    listen_agents: Address = "127.0.0.1:0"
+    entries: list[Address] = []
+    platform: Address
+    policy: PolicyName = "late-binding"
+    config_poll_s: Seconds = 1.0
+    ready_peers: int = Field(default=3, ge=1)
+    drain_notice_s: float = Field(default=1.0, ge=0)
+    revoke_wait_s: Seconds = 0.25
+    claim_group_s: Seconds = 0.004
+    retry_share: float = Field(default=0.5, ge=0)
+    body_timeout_s: Seconds = 10.0
--- /dev/null
+++ b/gooseberrylink/dispatcher.py
@@ -0,0 +1,338 @@
+"""Takes jobs through their life at an entry: queue, assignment, answer."""
+
+import itertools
+import random
+
+import trio
+
+from gooseberrylink.admission import Admission
+from gooseberrylink.codes import CANCELLED_BY_TRUTH, EXPIRED_BY_TRUTH, Code
+from gooseberrylink.config import EntrySettings
+from gooseberrylink.counters import Counters
+from gooseberrylink.lane import Lane
+from gooseberrylink.logs import log_event
+from gooseberrylink.operators.configuration import Configuration
+from gooseberrylink.peers.agent_peer import AgentPeer
+from gooseberrylink.peers.messages import Result, Status
+from gooseberrylink.quotas import Quotas
+from gooseberrylink.retry_budget import RetryBudget
+from gooseberrylink.routing import make_policy
+from gooseberrylink.runtimes import RuntimeModel
+from gooseberrylink.types import Answer, Job, JobRequest, Task, TaskState
+
+_RETRY_RESERVE = 50.0
+_RETRY_PAUSE_S = 0.05
+_INFEASIBLE_SPEED = 2.0
+
+
+class Dispatcher:
+    """The jobs of one entry.
+
+    Attributes:
+        jobs: Jobs without an answer yet, by job id.
+        is_draining: Whether new jobs are refused.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        configuration: Configuration,
+        counters: Counters,
+        incarnation: str,
+        seed: int | None = None,
+    ):
+        self.settings = settings
+        self.jobs: dict[str, Job] = {}
+        self.is_draining = False
+        self.runtimes = RuntimeModel()
+        self.quotas = Quotas()
+        self._configuration = configuration
+        self._counters = counters
+        self._incarnation = incarnation
+        self._sequence = itertools.count(1)
+        self._lanes: dict[str, Lane] = {}
+        self._budget = RetryBudget(settings.retry_share, _RETRY_RESERVE)
+        self._policy = make_policy(
+            settings.policy, random.Random(seed), self.runtimes, settings.data_centre
+        )
+        self._admission = Admission(
+            configuration, self.quotas, self.runtimes, self._policy.orders_queue
+        )
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Runs delayed retries until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            await trio.sleep_forever()
+
+    # What callers ask.
+
+    def admit(self, request: JobRequest, entries: int = 1) -> Job:
+        """Checks a job and gives it an id, without starting anything.
+
+        Args:
+            request: The job.
+            entries: Number of entries known, for the share of quotas.
+
+        Raises:
+            RefusedError: The job can't be taken; nothing was started.
+        """
+        now_s = trio.current_time()
+        lane = self.lane(request.service)
+        self._admission.check(request, lane, entries, now_s, self.is_draining)
+        number = next(self._sequence)
+        job = Job(
+            job_id=f"{self._incarnation}-{number}",
+            request=request,
+            submitted_s=now_s,
+            expires_s=now_s + request.deadline_s,
+        )
+        self._admission.plan(job, lane)
+        self.jobs[job.job_id] = job
+        return job
+
+    async def run_job(self, job: Job) -> Answer:
+        """Runs an admitted job and returns its whole answer, or one code."""
+        lane = self.lane(job.request.service)
+        for task in job.tasks:
+            lane.queue.push(task)
+        self.pump(lane.service)
+        try:
+            return await self._await_answer(job)
+        finally:
+            self._release(job)
+
+    def discard(self, job: Job) -> None:
+        """Forgets an admitted job that is not run after all."""
+        self.jobs.pop(job.job_id, None)
+
+    def cancel(self, job: Job) -> None:
+        """Ends a job early; what has not started never will."""
+        job.is_cancelled = True
+        self._notify(job)
+
+    async def _await_answer(self, job: Job) -> Answer:
+        with trio.move_on_at(job.expires_s):
+            while not (job.failure or job.is_cancelled or not job.unfinished):
+                await job.changed.wait()
+        if job.failure is None and job.unfinished:
+            await self._settle(job)
+        if job.failure is not None:
+            return job.failure
+        if not job.unfinished:
+            return Answer(Code.OK, results=job.results)
+        by_truth = CANCELLED_BY_TRUTH if job.is_cancelled else EXPIRED_BY_TRUTH
+        return Answer(by_truth[job.truth()], detail=_progress(job))
+
+    async def _settle(self, job: Job) -> None:
+        """Waits a little to learn which tasks of an ended job had started."""
+        self._release(job)
+        with trio.move_on_after(self.settings.revoke_wait_s):
+            while any(task.state is TaskState.ASSIGNED for task in job.tasks):
+                await job.changed.wait()
+
+    def _release(self, job: Job) -> None:
+        """Drops what is queued of a job and revokes what is in flight."""
+        if self.jobs.pop(job.job_id, None) is None:
+            return
+        lane = self.lane(job.request.service)
+        by_worker: dict[str, list[str]] = {}
+        for task in job.tasks:
+            if task.state is TaskState.QUEUED:
+                lane.queue.drop(task)
+                self._counters.add("tasks_dropped", "job_ended")
+            elif task.state is TaskState.ASSIGNED:
+                by_worker.setdefault(task.worker, []).append(task.task_id)
+        for peer in lane.peers:
+            if peer.worker in by_worker:
+                peer.revoke(by_worker[peer.worker])
+
+    # What agents say.
+
+    def lane(self, service: str) -> Lane:
+        """Returns the lane of a service."""
+        lane = self._lanes.get(service)
+        if lane is None:
+            lane = self._lanes[service] = Lane(service)
+        return lane
+
+    def lanes(self) -> list[Lane]:
+        """Returns all lanes."""
+        return list(self._lanes.values())
+
+    def move_peer(self, peer: AgentPeer, service: str) -> None:
+        """Puts an agent into the lane of the service it now has."""
+        for lane in self._lanes.values():
+            if peer in lane.peers:
+                lane.peers.remove(peer)
+        peer.service = service
+        self.lane(service).peers.append(peer)
+
+    def receive_result(self, peer: AgentPeer, result: Result) -> None:
+        """Handles what an agent knows of a task."""
+        task = peer.flights.get(result.task_id)
+        if task is None:
+            # A late or repeated answer; the task was settled before.
+            self._counters.add("results_ignored", result.status.name.lower())
+            if result.status is not Status.RUNNING:
+                peer.acknowledge(result.task_id)
+            return
+        if result.status is Status.RUNNING:
+            if task.job.job_id not in self.jobs:
+                task.state = TaskState.RAN
+                self._notify(task.job)
+            return
+        self._end_flight(peer, task)
+        peer.acknowledge(result.task_id)
+        if result.status is Status.NOT_STARTED:
+            self.not_started(task, result.reason)
+        else:
+            self._ran(peer, task, result)
+
+    def not_started(self, task: Task, reason: str) -> None:
+        """Handles proof that a task was not started: it may be tried again."""
+        if task.job.job_id not in self.jobs:
+            task.state = TaskState.NOT_STARTED
+            self._notify(task.job)
+            return
+        self._counters.add("retries", reason)
+        task.state = TaskState.QUEUED
+        if self._budget.spend():
+            self._requeue(task)
+        else:
+            self._counters.add("retries_delayed", reason)
+            self._nursery.start_soon(self._requeue_later, task)
+
+    def agent_lost(self, peer: AgentPeer) -> None:
+        """Gives up what was in flight at an incarnation that is gone."""
+        for task in list(peer.flights.values()):
+            self._end_flight(peer, task)
+            task.state = TaskState.UNKNOWN
+            self._counters.add("tasks_in_doubt", "agent_lost")
+            detail = f"worker {peer.worker} was restarted during task {task.index}"
+            self._fail(task.job, Answer(Code.AGENT_LOST, detail))
+
+    def _end_flight(self, peer: AgentPeer, task: Task) -> None:
+        del peer.flights[task.task_id]
+        self.lane(task.job.request.service).in_flight -= 1
+
+    def _ran(self, peer: AgentPeer, task: Task, result: Result) -> None:
+        job = task.job
+        self.quotas.learn_share(job.request.customer, result.demand_for_each_own)
+        if result.status is Status.DONE:
+            self._learn(peer, task, result.run_s)
+            task.state = TaskState.DONE
+            job.results[task.index] = result.value
+            job.unfinished -= 1
+            self._notify(job)
+            return
+        if result.status is Status.FAILED:
+            task.state = TaskState.RAN
+            code = Code.TASK_FAILED
+        else:
+            task.state = TaskState.UNKNOWN
+            code = Code.BACKEND_BROKE
+        self._counters.add("task_failures", result.reason)
+        detail = f"task {task.index} at {peer.worker}: {result.reason}"
+        self._fail(job, Answer(code, detail))
+
+    def _learn(self, peer: AgentPeer, task: Task, run_s: float) -> None:
+        request = task.job.request
+        self.runtimes.completed(
+            request.customer,
+            request.service,
+            task.spec.declared_s,
+            peer.worker,
+            run_s,
+            self._configuration.long_after_s(request.service),
+        )
+
+    def _fail(self, job: Job, answer: Answer) -> None:
+        if job.failure is None:
+            job.failure = answer
+        self._notify(job)
+
+    def _notify(self, job: Job) -> None:
+        job.changed.set()
+        job.changed = trio.Event()
+
+    # Assignment.
+
+    def pump(self, service: str) -> None:
+        """Assigns queued tasks of a service while there are slots for them."""
+        lane = self.lane(service)
+        while len(lane.queue) and self._place_next(lane):
+            pass
+        if not self._policy.is_holding:
+            for peer in lane.peers_to_ask():
+                peer.demand_told = 1
+                peer.outbox.poke()
+
+    def _place_next(self, lane: Lane) -> bool:
+        now_s = trio.current_time()
+        heads = [lane.queue.peek(is_long=False), lane.queue.peek(is_long=True)]
+        heads = [task for task in heads if task is not None]
+        for task in sorted(heads, key=lambda head: head.order):
+            if self._is_infeasible(task, now_s):
+                self._give_up(task.job)
+                return True
+            peer = self._policy.choose(task, lane.peers, now_s)
+            if peer is not None:
+                lane.queue.pop(task.is_long)
+                self._assign(lane, peer, task)
+                return True
+        return False
+
+    def _assign(self, lane: Lane, peer: AgentPeer, task: Task) -> None:
+        task.state = TaskState.ASSIGNED
+        task.worker = peer.worker
+        task.attempts += 1
+        lane.in_flight += 1
+        if task.attempts == 1:
+            self._budget.earn()
+        self._counters.add("assigns")
+        ratio = self.quotas.demand_ratio(task.job.request.customer)
+        peer.assign(task, self._policy.is_holding, ratio)
+
+    def _is_infeasible(self, task: Task, now_s: float) -> bool:
+        """Whether the job can't be answered in time and has not begun."""
+        if not self._policy.orders_queue:
+            return False
+        soonest_s = now_s + task.expected_s / _INFEASIBLE_SPEED
+        if soonest_s < task.job.expires_s:
+            return False
+        return all(t.state is TaskState.QUEUED for t in task.job.tasks)
+
+    def _give_up(self, job: Job) -> None:
+        self._release(job)
+        self._counters.add("jobs_given_up")
+        detail = "the queue was longer than the deadline allows"
+        self._fail(job, Answer(Code.EXPIRED_NOT_RUN, detail, retry_after_s=1.0))
+
+    def _requeue(self, task: Task) -> None:
+        lane = self.lane(task.job.request.service)
+        lane.queue.push(task)
+        self.pump(lane.service)
+
+    async def _requeue_later(self, task: Task) -> None:
+        await trio.sleep(_RETRY_PAUSE_S)
+        if task.job.job_id in self.jobs:
+            self._requeue(task)
+
+    def log_state(self) -> None:
+        """Logs the length of each queue."""
+        for lane in self._lanes.values():
+            log_event(
+                "lane",
+                "DEBUG",
+                service=lane.service,
+                queued=len(lane.queue),
+                in_flight=lane.in_flight,
+            )
+
+
+def _progress(job: Job) -> str:
+    done = sum(task.state is TaskState.DONE for task in job.tasks)
+    return f"{done} of {len(job.tasks)} tasks were done"
--- /dev/null
+++ b/gooseberrylink/entry.py
@@ -0,0 +1,242 @@
+"""Joins the parts of an entry: callers' jobs, agents, configuration, claims."""
+
+import secrets
+
+import msgspec
+import trio
+
+from gooseberrylink.claims import Claim, Claims
+from gooseberrylink.codes import Code
+from gooseberrylink.config import EntrySettings
+from gooseberrylink.counters import Counters
+from gooseberrylink.dispatcher import Dispatcher
+from gooseberrylink.exceptions import LinkClosedError, RefusedError
+from gooseberrylink.latency import ValueHistogram
+from gooseberrylink.logs import log_event
+from gooseberrylink.operators.configuration import Configuration
+from gooseberrylink.operators.store import ConfigurationStore, StoredConfiguration
+from gooseberrylink.peers.agent_peer import AgentPeer
+from gooseberrylink.peers.link import Link
+from gooseberrylink.peers.messages import AgentHello, EntryHello, decode_at_entry
+from gooseberrylink.platform.client import Platform
+from gooseberrylink.platform.results import Trouble
+from gooseberrylink.types import Answer, Job, JobRequest
+
+_HELLO_TIMEOUT_S = 5.0
+_DRAIN_TICK_S = 0.05
+
+
+class Entry:
+    """An entry host's process, without its listeners.
+
+    Attributes:
+        incarnation: Random id of this run.
+        peers: Agents by worker name, including those that are cut off.
+        address: Where agents reach this entry.
+        is_leaving: Whether the balancer is told to send no more callers.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        platform: Platform,
+        counters: Counters | None = None,
+        seed: int | None = None,
+    ):
+        self.settings = settings
+        self.counters = counters or Counters("entry", settings.entry)
+        self.incarnation = secrets.token_hex(8)
+        self.address = settings.listen_agents
+        self.configuration = Configuration()
+        self.dispatcher = Dispatcher(
+            settings, self.configuration, self.counters, self.incarnation, seed
+        )
+        self.claims = Claims(platform, settings.claim_group_s, self.counters)
+        self.answer_time = ValueHistogram()
+        self.is_leaving = False
+        self.peers: dict[str, AgentPeer] = {}
+        self._store = ConfigurationStore(platform)
+        self._known_entries: set[str] = set(settings.entries)
+        self._jobs_by_name: dict[tuple[str, str], Job] = {}
+        self._is_confirmed = False
+        self._heard_config_from: set[str] = set()
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Runs the background work until cancelled."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.dispatcher.run)
+            await nursery.start(self.claims.run)
+            nursery.start_soon(self._poll_configuration)
+            task_status.started()
+
+    # Callers.
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        if self.is_leaving or self.dispatcher.is_draining:
+            return False
+        has_agent = any(peer.can_serve for peer in self.peers.values())
+        return self.has_configuration and has_agent
+
+    @property
+    def has_configuration(self) -> bool:
+        """Whether a configuration is known that is surely not out of date.
+
+        Either the platform was read, or enough agents were heard, of which
+        the newest version counts: a single one may be out of date.
+        """
+        if self.configuration.declarations is None:
+            return False
+        enough = len(self._heard_config_from) >= self.settings.ready_peers
+        return self._is_confirmed or enough
+
+    async def submit(self, request: JobRequest) -> Answer:
+        """Runs a job; the answer is whole, or a code that says why not."""
+        started_s = trio.current_time()
+        try:
+            answer = await self._run(request)
+        except RefusedError as error:
+            answer = Answer(error.code, error.detail, retry_after_s=error.retry_after_s)
+        self.answer_time.record(trio.current_time() - started_s)
+        self.counters.add("answers", answer.code.name.lower())
+        if answer.code.name != "OK":
+            self.counters.add("refusals", answer.code.name.lower())
+        return answer
+
+    def cancel(self, customer: str, job_id: str) -> bool:
+        """Cancels a job by the caller's name for it; False if unknown."""
+        job = self._jobs_by_name.get((customer, job_id))
+        if job is None:
+            return False
+        self.dispatcher.cancel(job)
+        return True
+
+    async def _run(self, request: JobRequest) -> Answer:
+        if not self.has_configuration:
+            raise RefusedError(Code.NOT_READY, "no configuration yet", 1.0)
+        name = (request.customer, request.job_id)
+        if request.job_id and name in self._jobs_by_name:
+            raise RefusedError(Code.DUPLICATE_JOB_ID, "this job is in progress here")
+        job = self.dispatcher.admit(request, 1 + len(self.other_entries()))
+        log_event("job_admitted", "DEBUG", job=job.job_id, tasks=len(job.tasks))
+        if request.job_id:
+            self._jobs_by_name[name] = job
+        try:
+            answer = await self._run_once_if_needed(job)
+        finally:
+            self.dispatcher.discard(job)
+            self._jobs_by_name.pop(name, None)
+        log_event(
+            "job_answered",
+            "DEBUG",
+            job=job.job_id,
+            code=int(answer.code),
+            took_s=trio.current_time() - job.submitted_s,
+        )
+        return answer
+
+    async def _run_once_if_needed(self, job: Job) -> Answer:
+        request = job.request
+        service = self.configuration.service(request.service)
+        if request.repeatable and not service.never_repeat:
+            return await self.dispatcher.run_job(job)
+        claim = await self.claims.acquire(
+            request.customer, request.idempotency_key, job.job_id, job.expires_s
+        )
+        if not isinstance(claim, Claim):
+            return claim
+        answer = Answer(Code.CANCELLED_MAY_HAVE_RUN, "the caller hung up")
+        try:
+            answer = await self.dispatcher.run_job(job)
+        finally:
+            self.claims.settle(claim, answer)
+        return answer
+
+    # Agents.
+
+    def hello(self) -> EntryHello:
+        """Returns the first frame for a new link."""
+        return EntryHello(
+            entry=self.settings.entry,
+            incarnation=self.incarnation,
+            address=self.address,
+            entries=sorted(self._known_entries),
+            config_version=self.configuration.version,
+        )
+
+    def other_entries(self) -> set[str]:
+        """Returns the addresses of the other entries that are known."""
+        return self._known_entries - {self.address}
+
+    async def serve_link(self, link: Link) -> None:
+        """Serves one link of an agent until it closes."""
+        try:
+            with trio.fail_after(_HELLO_TIMEOUT_S):
+                hello = decode_at_entry(await link.receive())
+        except (LinkClosedError, msgspec.MsgspecError, trio.TooSlowError):
+            link.close()
+            return
+        if not isinstance(hello, AgentHello):
+            link.close()
+            return
+        peer = self.peers.get(hello.worker)
+        if peer is None:
+            peer = self.peers[hello.worker] = AgentPeer(self, hello.worker)
+        try:
+            await peer.serve(link, hello)
+        except LinkClosedError:
+            link.close()
+
+    def agent_connected(self, peer: AgentPeer, hello: AgentHello) -> None:
+        """Notes what an agent's hello says."""
+        self._known_entries.update(hello.entries)
+        self.dispatcher.move_peer(peer, hello.service)
+        self.dispatcher.runtimes.hint_speed(peer.worker, hello.speed_hint)
+        if hello.config_version <= self.configuration.version:
+            self._heard_config_from.add(peer.worker)
+        self.dispatcher.pump(hello.service)
+
+    def configuration_heard(self, peer: AgentPeer) -> None:
+        """Notes that an agent has handed on the version it had."""
+        self._heard_config_from.add(peer.worker)
+
+    # Configuration.
+
+    async def _poll_configuration(self) -> None:
+        while True:
+            await self.poll_configuration_once()
+            await trio.sleep(self.settings.config_poll_s)
+
+    async def poll_configuration_once(self) -> None:
+        """Asks the platform for a newer configuration."""
+        found = await self._store.read_newer(self.configuration.version)
+        if isinstance(found, Trouble):
+            self.counters.add("config_polls_failed", found.name.lower())
+            return
+        if isinstance(found, StoredConfiguration):
+            self.adopt(found.version, found.text, "platform")
+        self._is_confirmed = True
+
+    def adopt(self, version: int, text: str, source: str) -> None:
+        """Brings a configuration into force and hands it on to all agents."""
+        if not self.configuration.adopt(version, text, source):
+            return
+        self.counters.set_gauge("config_version", version)
+        for peer in self.peers.values():
+            if peer.is_connected:
+                peer.outbox.poke()
+
+    # Shutdown.
+
+    async def drain(self) -> bool:
+        """Takes no new jobs and waits until those in progress are answered.
+
+        Returns:
+            Whether all of them were answered in time.
+        """
+        self.dispatcher.is_draining = True
+        with trio.move_on_after(self.settings.drain_s) as scope:
+            while self.dispatcher.jobs:
+                await trio.sleep(_DRAIN_TICK_S)
+        return not scope.cancelled_caught
--- /dev/null
+++ b/gooseberrylink/exceptions.py
@@ -0,0 +1,39 @@
+"""Defines the exceptions that the package raises."""
+
+from gooseberrylink.codes import Code
+
+
+class GooseberrylinkError(Exception):
+    """Base of all errors of this package."""
+
+
+class LinkClosedError(GooseberrylinkError):
+    """The link to a peer is closed; nothing more passes over it."""
+
+
+class ConfigError(GooseberrylinkError):
+    """A settings or declarations file is not valid.
+
+    Attributes:
+        faults: One readable line for each fault, with file, line and field.
+    """
+
+    def __init__(self, faults: list[str]):
+        super().__init__("\n".join(faults))
+        self.faults = faults
+
+
+class RefusedError(GooseberrylinkError):
+    """A job was refused before any of its tasks was started.
+
+    Attributes:
+        code: A 1xx code.
+        detail: What was wrong, for the caller.
+        retry_after_s: When a new submission may succeed; None if never.
+    """
+
+    def __init__(self, code: Code, detail: str, retry_after_s: float | None = None):
+        super().__init__(detail)
+        self.code = code
+        self.detail = detail
+        self.retry_after_s = retry_after_s
--- /dev/null
+++ b/gooseberrylink/gate.py
@@ -0,0 +1,200 @@
+"""Decides at the agent which tasks may start, and remembers what became of them.
+
+This is the only place where a task is allowed to start. An entry may move a
+task elsewhere only after this gate said "not started", and saying so puts a
+tombstone in the way of the assignment should it still arrive.
+"""
+
+import dataclasses
+import enum
+
+from gooseberrylink.peers.messages import Assign, Result, Status
+
+
+class RecordState(enum.Enum):
+    """What became of a task at this agent."""
+
+    HELD = "held"
+    STARTED = "started"
+    FINISHED = "finished"
+    REVOKED = "revoked"
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Record:
+    """What the gate knows of one task id.
+
+    Attributes:
+        expires_s: Agent's clock after which the task may not start.
+        forget_s: Agent's clock after which the record may be dropped.
+        result: What is reported to the entry once it is known.
+    """
+
+    task_id: str
+    state: RecordState
+    assign: Assign | None = None
+    entry: str = ""
+    expires_s: float = 0.0
+    forget_s: float = 0.0
+    started_s: float = 0.0
+    result: Result | None = None
+
+
+class Gate:
+    """The records of one incarnation of an agent.
+
+    All times are seconds on the agent's monotonic clock. The clock is read
+    again for each decision, because the process may have been frozen since
+    any timer was set.
+
+    Attributes:
+        lease_s: How long a task may be held without word from its entry.
+        retention_s: How long a record outlives its task. Must exceed the
+            longest deadline of a job, or an entry that asks late would hear
+            "not started" of a task that ran.
+    """
+
+    def __init__(self, lease_s: float, retention_s: float, max_records: int):
+        self.lease_s = lease_s
+        self.retention_s = retention_s
+        # An assignment older than the lease is refused for its age alone, so
+        # a tombstone need only outlast the lease.
+        self._tombstone_s = 4 * lease_s
+        self._max_records = max_records
+        self._records: dict[str, Record] = {}
+        self._lease_ends_s: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def renew_lease(self, entry: str, basis_s: float) -> None:
+        """Extends the lease of an entry's held tasks.
+
+        Args:
+            entry: Incarnation of the entry.
+            basis_s: The agent's clock at which the entry was surely alive.
+        """
+        end_s = basis_s + self.lease_s
+        self._lease_ends_s[entry] = max(end_s, self._lease_ends_s.get(entry, end_s))
+
+    def lease_end_s(self, entry: str) -> float:
+        """Returns when the entry's lease ends; -inf if it never had one."""
+        return self._lease_ends_s.get(entry, float("-inf"))
+
+    def admit(
+        self, assign: Assign, entry: str, basis_s: float, now_s: float
+    ) -> Record | str:
+        """Takes an assignment in.
+
+        Returns:
+            A new record in state HELD, or the reason for not taking it. In
+            the second case the task id has a tombstone.
+        """
+        known = self._records.get(assign.task_id)
+        if known is not None:
+            return "revoked" if known.state is RecordState.REVOKED else "duplicate"
+        expires_s = basis_s + assign.remaining_s
+        if len(self._records) >= self._max_records:
+            self._bury(assign.task_id, now_s)
+            return "records_full"
+        if now_s > basis_s + self.lease_s:
+            self._bury(assign.task_id, now_s)
+            return "lease_lapsed"
+        if now_s >= expires_s:
+            self._bury(assign.task_id, now_s)
+            return "expired"
+        record = Record(
+            assign.task_id, RecordState.HELD, assign, entry, expires_s=expires_s
+        )
+        record.forget_s = now_s + self.retention_s
+        self._records[assign.task_id] = record
+        return record
+
+    def start(self, record: Record, now_s: float) -> bool:
+        """Lets a held task start, unless it lapsed meanwhile.
+
+        Returns:
+            Whether it may start. If not, it has a tombstone and a result.
+        """
+        if record.state is not RecordState.HELD:
+            return False
+        if now_s >= record.expires_s:
+            self.drop(record, "expired", now_s)
+            return False
+        if now_s > self.lease_end_s(record.entry):
+            self.drop(record, "lease_lapsed", now_s)
+            return False
+        record.state = RecordState.STARTED
+        record.started_s = now_s
+        return True
+
+    def finish(self, record: Record, result: Result, now_s: float) -> None:
+        """Keeps the result of a started task until the entry has it."""
+        record.state = RecordState.FINISHED
+        record.assign = None
+        record.result = result
+        record.forget_s = now_s + self.retention_s
+
+    def withdraw(self, record: Record, reason: str, now_s: float) -> None:
+        """Marks a started task as not started: its backend saw no byte of it."""
+        record.state = RecordState.HELD
+        self.drop(record, reason, now_s)
+
+    def drop(self, record: Record, reason: str, now_s: float) -> None:
+        """Puts a tombstone in place of a held task."""
+        record.state = RecordState.REVOKED
+        record.assign = None
+        record.forget_s = now_s + self._tombstone_s
+        record.result = Result(record.task_id, Status.NOT_STARTED, reason=reason)
+
+    def revoke(self, task_id: str, now_s: float) -> Result:
+        """Makes sure that a task never starts, or tells what became of it."""
+        record = self._records.get(task_id)
+        if record is None:
+            self._bury(task_id, now_s)
+            return Result(task_id, Status.NOT_STARTED, reason="revoked")
+        if record.state is RecordState.HELD:
+            self.drop(record, "revoked", now_s)
+        if record.result is not None:
+            return record.result
+        return Result(task_id, Status.RUNNING)
+
+    def acknowledge(self, task_ids: list[str], now_s: float) -> None:
+        """Drops results that arrived at the entry; tombstones stay a while."""
+        for task_id in task_ids:
+            record = self._records.get(task_id)
+            if record is None or record.result is None:
+                continue
+            record.result = Result(
+                task_id, record.result.status, reason="already_acknowledged"
+            )
+            record.forget_s = min(record.forget_s, now_s + self._tombstone_s)
+
+    def unacknowledged(self, entry: str) -> int:
+        """Counts the finished tasks whose results the entry may still fetch."""
+        return sum(
+            record.entry == entry
+            and record.state is RecordState.FINISHED
+            and record.result.reason != "already_acknowledged"
+            for record in self._records.values()
+        )
+
+    def forget_old(self, now_s: float) -> None:
+        """Drops records whose time is over; call it now and then."""
+        ended = (RecordState.FINISHED, RecordState.REVOKED)
+        old = [
+            task_id
+            for task_id, record in self._records.items()
+            if record.state in ended and record.forget_s < now_s
+        ]
+        for task_id in old:
+            del self._records[task_id]
+        lapsed = [e for e, end in self._lease_ends_s.items() if end < now_s - 60.0]
+        for entry in lapsed:
+            del self._lease_ends_s[entry]
+
+    def _bury(self, task_id: str, now_s: float) -> None:
+        record = Record(task_id, RecordState.REVOKED)
+        record.forget_s = now_s + self._tombstone_s
+        record.result = Result(task_id, Status.NOT_STARTED, reason="revoked")
+        self._records[task_id] = record
--- /dev/null
+++ b/gooseberrylink/http_server.py
@@ -0,0 +1,47 @@
+"""Serves an ASGI application with hypercorn on trio."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+
+_KEEP_ALIVE_S = 60.0
+
+
+def _config(address: str, graceful_s: float) -> Config:
+    config = Config()
+    config.bind = [address]
+    config.accesslog = None
+    config.errorlog = None
+    config.keep_alive_timeout = _KEEP_ALIVE_S
+    config.graceful_timeout = graceful_s
+    config.shutdown_timeout = graceful_s
+    config.include_server_header = False
+    return config
+
+
+async def serve_http(
+    app,
+    address: str,
+    shutdown: Callable[[], Awaitable[None]],
+    graceful_s: float = 5.0,
+    task_status=trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serves until shutdown() returns, then finishes requests in progress.
+
+    Args:
+        app: An ASGI application.
+        address: host:port; port 0 takes any free one.
+        shutdown: Returns when the server is to stop.
+        graceful_s: How long requests in progress may take to finish.
+        task_status: Gets the address that is listened on.
+    """
+
+    async def start(task_status=trio.TASK_STATUS_IGNORED):
+        config = _config(address, graceful_s)
+        await serve(app, config, shutdown_trigger=shutdown, task_status=task_status)
+
+    async with trio.open_nursery() as nursery:
+        binds = await nursery.start(start)
+        task_status.started(binds[0].removeprefix("http://"))
--- /dev/null
+++ b/gooseberrylink/lane.py
@@ -0,0 +1,114 @@
+"""Holds what an entry knows of one service: its queue and its agents."""
+
+from gooseberrylink.operators.declarations import Customer
+from gooseberrylink.peers.agent_peer import AgentPeer
+from gooseberrylink.task_queue import TaskQueue
+from gooseberrylink.types import Job
+
+_MAX_DEMAND_AT_ONE = 2
+_MIN_REGISTERED = 2
+_STRETCH = 4.0
+
+
+class Lane:
+    """The queue of one service and the agents that serve it.
+
+    Attributes:
+        service: Name of the service.
+        in_flight: Tasks of this entry that are at agents.
+    """
+
+    def __init__(self, service: str):
+        self.service = service
+        self.queue = TaskQueue()
+        self.peers: list[AgentPeer] = []
+        self.in_flight = 0
+        self._finish_s: dict[str, float] = {}
+        self._weights: dict[str, float] = {}
+
+    def slots(self) -> int:
+        """Returns the slots of all agents that can serve."""
+        return sum(peer.slots for peer in self.peers if peer.can_serve)
+
+    def parallelism(self) -> float:
+        """Returns how many tasks of this entry probably run at once under load.
+
+        Other entries use the same slots. What this entry has in flight while
+        its queue is not empty is its share.
+        """
+        if len(self.queue):
+            return max(1.0, float(self.in_flight))
+        return max(1.0, float(self.slots()))
+
+    def wait_s(self, order: tuple[int, float]) -> float:
+        """Estimates how long a task with this order key would wait."""
+        total_s = self.queue.work_s / self.parallelism()
+        if total_s < 0.1:
+            return total_s
+        return self.queue.work_before_s(order) / self.parallelism()
+
+    def order_key(
+        self, job: Job, customer: Customer, work_s: float, longest_s: float
+    ) -> tuple[int, float]:
+        """Returns the place in the queue for all tasks of a job.
+
+        Small jobs go first, as each is due at a multiple of its own length;
+        so a long one is overtaken for a bounded time only. A customer that
+        asks for more than its weighted share is moved back by what it took.
+        """
+        length_s = longest_s + work_s / self.parallelism()
+        start_s = self._start_s(customer, job.submitted_s)
+        return -customer.precedence, start_s + _STRETCH * length_s
+
+    def charge(self, customer: Customer, work_s: float, now_s: float) -> None:
+        """Counts admitted work against a customer's weighted share."""
+        if not len(self.queue):
+            self._finish_s.clear()
+        start_s = self._start_s(customer, now_s)
+        rate = self.parallelism() * self._weight_share(customer, now_s)
+        self._finish_s[customer.name] = start_s + work_s / rate
+        self._weights[customer.name] = customer.weight
+
+    def quarantined_share(self) -> float:
+        """Returns the share of the service's agents that are in quarantine."""
+        connected = [peer for peer in self.peers if peer.is_connected]
+        if not connected:
+            return 0.0
+        return sum(peer.is_quarantined for peer in connected) / len(connected)
+
+    def demand_at(self, peer: AgentPeer) -> int:
+        """Returns the demand to state in the next frame to an agent.
+
+        The demand stated to all agents together is no more than the queue, or
+        slots would be reserved here that others need.
+        """
+        told_elsewhere = sum(p.demand_told for p in self.peers if p is not peer)
+        return max(0, min(_MAX_DEMAND_AT_ONE, len(self.queue) - told_elsewhere))
+
+    def peers_to_ask(self) -> list[AgentPeer]:
+        """Returns agents that must hear of the queue in a frame of its own.
+
+        Agents that have tasks of this entry hear of it on the way, and its
+        slots there come back with the results. Only an entry that has few of
+        these must ask.
+        """
+        wanted = min(len(self.queue), _MIN_REGISTERED) - self.in_flight
+        wanted -= sum(peer.demand_told > 0 for peer in self.peers)
+        if wanted <= 0:
+            return []
+        able = [p for p in self.peers if p.can_serve and not p.demand_told]
+        able.sort(key=lambda peer: (peer.is_quarantined, -peer.slots, peer.heard_s))
+        return able[:wanted]
+
+    def _start_s(self, customer: Customer, now_s: float) -> float:
+        if not len(self.queue):
+            return now_s
+        return max(now_s, self._finish_s.get(customer.name, now_s))
+
+    def _weight_share(self, customer: Customer, now_s: float) -> float:
+        others = sum(
+            self._weights[name]
+            for name, end_s in self._finish_s.items()
+            if end_s > now_s and name != customer.name
+        )
+        return customer.weight / (customer.weight + others)
--- /dev/null
+++ b/gooseberrylink/latency.py
@@ -0,0 +1,37 @@
+"""Records answer times in histograms."""
+
+from hdrh.histogram import HdrHistogram
+
+_LOWEST = 1
+_HIGHEST = 3_600_000
+_DIGITS = 3
+PERCENTILES = (50.0, 99.0, 99.9)
+
+
+class ValueHistogram:
+    """A histogram of non-negative values, kept with three digits.
+
+    Attributes:
+        scale: Recorded units for each unit of the value, such as 1000 to keep
+            seconds as milliseconds.
+    """
+
+    def __init__(self, scale: float = 1000.0):
+        self.scale = scale
+        self._histogram = HdrHistogram(_LOWEST, _HIGHEST, _DIGITS)
+
+    def record(self, value: float) -> None:
+        """Records one value; values out of range count as the bound."""
+        scaled = round(value * self.scale)
+        self._histogram.record_value(min(_HIGHEST, max(_LOWEST, scaled)))
+
+    @property
+    def count(self) -> int:
+        """How many values were recorded."""
+        return self._histogram.get_total_count()
+
+    def percentile(self, percent: float) -> float:
+        """Returns the value at a percentile; 0 if there is none."""
+        if not self.count:
+            return 0.0
+        return self._histogram.get_value_at_percentile(percent) / self.scale
--- /dev/null
+++ b/gooseberrylink/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Serves operators: declarations, apply, check and status."""
--- /dev/null
+++ b/gooseberrylink/operators/status.py
@@ -0,0 +1,50 @@
+"""Describes the state of an entry for operators."""
+
+from typing import Any
+
+from gooseberrylink.entry import Entry
+from gooseberrylink.lane import Lane
+from gooseberrylink.peers.agent_peer import AgentPeer
+
+
+def entry_status(entry: Entry) -> dict[str, Any]:
+    """Returns the state of an entry and of the agents it knows, as JSON."""
+    return {
+        "entry": entry.settings.entry,
+        "incarnation": entry.incarnation,
+        "config_version": entry.configuration.version,
+        "is_ready": entry.is_ready,
+        "is_draining": entry.dispatcher.is_draining,
+        "jobs": len(entry.dispatcher.jobs),
+        "lanes": [
+            _lane_status(lane) for lane in entry.dispatcher.lanes() if lane.service
+        ],
+        "agents": [
+            _agent_status(entry, peer) for _, peer in sorted(entry.peers.items())
+        ],
+    }
+
+
+def _lane_status(lane: Lane) -> dict[str, Any]:
+    return {
+        "service": lane.service,
+        "queued_tasks": len(lane.queue),
+        "queued_work_s": round(lane.queue.work_s, 3),
+        "in_flight_tasks": lane.in_flight,
+        "slots": lane.slots(),
+    }
+
+
+def _agent_status(entry: Entry, peer: AgentPeer) -> dict[str, Any]:
+    return {
+        "worker": peer.worker,
+        "service": peer.service,
+        "data_centre": peer.data_centre,
+        "config_version": peer.config_version,
+        "is_connected": peer.is_connected,
+        "is_quarantined": peer.is_quarantined,
+        "slots": peer.slots,
+        "free_slots": max(0, peer.free),
+        "in_flight_tasks": len(peer.flights),
+        "relative_speed": round(entry.dispatcher.runtimes.speed(peer.worker), 3),
+    }
--- /dev/null
+++ b/gooseberrylink/operators/store.py
@@ -0,0 +1,168 @@
+"""Keeps the accepted configuration in the platform's table and object store.
+
+One row names the version in force and the object that holds its text. The
+row's own version is the number of the configuration, so numbers only rise.
+"""
+
+import dataclasses
+import enum
+import hashlib
+
+import trio
+from returns.result import Failure, Success
+
+from gooseberrylink.platform.client import Platform
+from gooseberrylink.platform.results import PlatformError, Put, Row, Trouble
+
+TABLE = "configuration"
+KEY = "current"
+_HISTORY_LENGTH = 50
+_READ_BACK_PAUSE_S = 0.2
+
+
+class ApplyStatus(enum.Enum):
+    """How an attempt to apply a configuration ended.
+
+    ACCEPTED: it is in force, or was and has been succeeded since.
+    CONFLICT: another operator's change came first; nothing was applied.
+    NOT_APPLIED: the platform was not reached; nothing was applied.
+    UNKNOWN: the platform's answer was lost and can't be read back.
+    """
+
+    ACCEPTED = "accepted"
+    CONFLICT = "conflict"
+    NOT_APPLIED = "not applied"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ApplyResult:
+    """The result of an attempt to apply a configuration.
+
+    Attributes:
+        version: The accepted version, or the one in the way.
+        base: The version that the attempt was based on.
+    """
+
+    status: ApplyStatus
+    version: int
+    base: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StoredConfiguration:
+    """A configuration as read from the platform."""
+
+    version: int
+    text: str
+
+
+class ConfigurationStore:
+    """Reads and writes the accepted configuration."""
+
+    def __init__(self, platform: Platform):
+        self._platform = platform
+
+    async def read_newer(self, version: int) -> StoredConfiguration | None | Trouble:
+        """Returns the configuration in force if it is newer than a version.
+
+        Returns:
+            The configuration; None if there is no newer one; or the trouble.
+        """
+        match await self._platform.read(TABLE, KEY):
+            case Success(row) if row.version > version:
+                return await self._read_text(row)
+            case Success(_) | Failure(PlatformError(trouble=Trouble.NOT_FOUND)):
+                return None
+            case Failure(error):
+                return error.trouble
+
+    async def apply(
+        self, text: str, apply_id: str, base: int | None, timeout_s: float
+    ) -> ApplyResult:
+        """Makes a text the configuration in force.
+
+        Args:
+            text: Checked declarations as YAML.
+            apply_id: Random id of this attempt, by which a lost answer is
+                recognised when read back.
+            base: Version that this change was made from; None for whichever
+                is in force now.
+            timeout_s: When to stop asking the platform.
+        """
+        name = "configuration-" + hashlib.sha256(text.encode()).hexdigest()[:32]
+        row = await self._current(timeout_s)
+        if row is None:
+            return ApplyResult(ApplyStatus.NOT_APPLIED, 0, base or 0)
+        if base is not None and row.version != base:
+            return ApplyResult(ApplyStatus.CONFLICT, row.version, base)
+        stored = await self._platform.write_object(name, text.encode())
+        if isinstance(stored, Failure):
+            # Without a pointer from the row, the object means nothing.
+            return ApplyResult(ApplyStatus.NOT_APPLIED, row.version, row.version)
+        put = _put_current(row, name, apply_id)
+        status, version = ApplyStatus.UNKNOWN, row.version
+        with trio.move_on_after(timeout_s):
+            status, version = await self._swap(put, apply_id)
+        return ApplyResult(status, version, row.version)
+
+    async def read_version(self, version: int) -> str | None:
+        """Returns the text of a recent version; None if it can't be had."""
+        match await self._platform.read(TABLE, KEY):
+            case Success(row):
+                for entry in row.value["history"]:
+                    if entry["version"] == version:
+                        found = await self._platform.read_object(entry["object"])
+                        return found.map(bytes.decode).value_or(None)
+        return None
+
+    async def _current(self, timeout_s: float) -> Row | None:
+        with trio.move_on_after(timeout_s):
+            match await self._platform.read(TABLE, KEY):
+                case Success(row):
+                    return row
+                case Failure(PlatformError(trouble=Trouble.NOT_FOUND)):
+                    return Row(KEY, 0, {"history": []})
+        return None
+
+    async def _read_text(self, row: Row) -> StoredConfiguration | Trouble:
+        match await self._platform.read_object(row.value["object"]):
+            case Success(data):
+                return StoredConfiguration(row.version, data.decode())
+            case Failure(error):
+                return error.trouble
+
+    async def _swap(self, put: Put, apply_id: str) -> tuple[ApplyStatus, int]:
+        """Swaps the row; repeats until it is known how that ended.
+
+        Repeating is safe: the write is bound to the row's version, and each
+        accepted attempt stays in the row's history.
+        """
+        is_tainted = False
+        while True:
+            match await self._platform.write([put]):
+                case Success(versions):
+                    return ApplyStatus.ACCEPTED, versions[0]
+                case Failure(PlatformError(trouble=Trouble.UNAVAILABLE)):
+                    if not is_tainted:
+                        return ApplyStatus.NOT_APPLIED, put.if_version
+                case Failure(PlatformError(trouble=Trouble.UNKNOWN_OUTCOME)):
+                    is_tainted = True
+            match await self._platform.read(TABLE, KEY):
+                case Success(row) if row.version != put.if_version:
+                    return _find_attempt(row, apply_id)
+            await trio.sleep(_READ_BACK_PAUSE_S)
+
+
+def _put_current(row: Row, name: str, apply_id: str) -> Put:
+    entry = {"version": row.version + 1, "object": name, "apply_id": apply_id}
+    history = [*row.value["history"], entry][-_HISTORY_LENGTH:]
+    value = {"object": name, "apply_id": apply_id, "history": history}
+    return Put(TABLE, KEY, value, row.version)
+
+
+def _find_attempt(row: Row, apply_id: str) -> tuple[ApplyStatus, int]:
+    for entry in row.value["history"]:
+        if entry["apply_id"] == apply_id:
+            return ApplyStatus.ACCEPTED, entry["version"]
+    return ApplyStatus.CONFLICT, row.version
--- /dev/null
+++ b/gooseberrylink/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Talks to the project's own processes: links, messages, and both ends."""
--- /dev/null
+++ b/gooseberrylink/peers/agent_peer.py
@@ -0,0 +1,263 @@
+"""Keeps the entry's link to one agent."""
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import trio
+
+from gooseberrylink.exceptions import LinkClosedError
+from gooseberrylink.logs import log_event
+from gooseberrylink.peers.link import Link
+from gooseberrylink.peers.messages import (
+    Ack,
+    AgentFrame,
+    AgentHello,
+    Assign,
+    ConfigUpdate,
+    EntryFrame,
+    Result,
+    Revoke,
+    decode_at_entry,
+    encode,
+)
+from gooseberrylink.peers.outbox import Outbox
+from gooseberrylink.peers.watchdog import Watchdog
+from gooseberrylink.types import Task
+
+if TYPE_CHECKING:
+    from gooseberrylink.entry import Entry
+
+_MAX_ACKS_WAITING = 64
+
+
+class AgentPeer:
+    """One agent, as the entry knows it, across links and incarnations.
+
+    Attributes:
+        flights: Tasks whose fate at this agent is not settled, by id.
+        granted: Whether the last frame reserved a slot for this entry.
+        demand_told: Slots that the agent was told this entry wants there.
+        config_version: Version in force at the agent, as last heard.
+    """
+
+    def __init__(self, entry: "Entry", worker: str):
+        self._entry = entry
+        self.worker = worker
+        self.incarnation = ""
+        self.data_centre = ""
+        self.service = ""
+        self.slots = 0
+        self.is_quarantined = False
+        self.flights: dict[str, Task] = {}
+        self.outbox = Outbox()
+        self.granted = False
+        self.demand_told = 0
+        self.heard_s = float("-inf")
+        self._link: Link | None = None
+        self._clock_s = 0.0
+        self._free = 0
+        self._free_long = 0
+        self._assigns_sent = 0
+        self._assigns_seen = 0
+        self._acks: list[str] = []
+        self.config_version = 0
+        self._config_sent = 0
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether the link is up."""
+        return self._link is not None
+
+    @property
+    def can_serve(self) -> bool:
+        """Whether the link is up and a backend server stands behind it."""
+        return self._link is not None and self.slots > 0
+
+    @property
+    def free(self) -> int:
+        """Slots that are believed to be free for this entry."""
+        if not self.can_serve:
+            return 0
+        return self._free - (self._assigns_sent - self._assigns_seen)
+
+    @property
+    def free_long(self) -> int:
+        """Slots that are believed to be free for long tasks of this entry."""
+        if not self.can_serve:
+            return 0
+        return self._free_long - (self._assigns_sent - self._assigns_seen)
+
+    def assign(self, task: Task, is_holdable: bool, demand_ratio: float) -> None:
+        """Puts a task on its way; its fate is settled by a result."""
+        self.flights[task.task_id] = task
+        self._assigns_sent += 1
+        self.granted = False
+        item = Assign(
+            task_id=task.task_id,
+            job_id=task.job.job_id,
+            customer=task.job.request.customer,
+            payload=task.spec.payload,
+            remaining_s=task.job.expires_s - trio.current_time(),
+            is_long=task.is_long,
+            is_holdable=is_holdable,
+            demand_ratio=demand_ratio,
+        )
+        self.outbox.put(item)
+
+    def revoke(self, task_ids: list[str]) -> None:
+        """Asks that tasks in flight do not start."""
+        if self._link is not None:
+            self.outbox.put(Revoke(task_ids))
+
+    def acknowledge(self, task_id: str) -> None:
+        """Lets the agent forget a result, with the next frame."""
+        self._acks.append(task_id)
+        if len(self._acks) >= _MAX_ACKS_WAITING:
+            self.outbox.poke()
+
+    async def serve(self, link: Link, hello: AgentHello) -> None:
+        """Serves a new link until it closes."""
+        if self._link is not None:
+            self._link.close()
+        self._begin(link, hello)
+        settings = self._entry.settings
+        watchdog = Watchdog(
+            settings.busy_heartbeat_s, settings.idle_heartbeat_s, settings.max_misses
+        )
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._send_frames, link, watchdog)
+                nursery.start_soon(watchdog.run, link, self._is_busy)
+                await self._read_frames(link, watchdog)
+                nursery.cancel_scope.cancel()
+        finally:
+            link.close()
+            if self._link is link:
+                self._end()
+
+    def _begin(self, link: Link, hello: AgentHello) -> None:
+        link.send(encode(self._entry.hello()))
+        is_same = hello.incarnation == self.incarnation
+        if not is_same:
+            self._acks.clear()
+            self._entry.dispatcher.agent_lost(self)
+        self._link = link
+        self.incarnation = hello.incarnation
+        self.data_centre = hello.data_centre
+        self.service = hello.service
+        self.slots = hello.slots
+        self._note_clock(hello.clock_s)
+        self._free = self._free_long = 0
+        self._assigns_sent = self._assigns_seen = 0
+        self.config_version = hello.config_version
+        self._config_sent = 0
+        self.demand_told = 0
+        log_event("agent_connected", worker=self.worker, in_doubt=len(self.flights))
+        if self.flights:
+            # Whatever was in flight on the old link is in doubt. The agent
+            # either promises that it never starts, or says what became of it.
+            self.outbox.put(Revoke(list(self.flights)))
+        self._entry.agent_connected(self, hello)
+
+    def _end(self) -> None:
+        self._link = None
+        self.granted = False
+        self.demand_told = 0
+        log_event("agent_disconnected", worker=self.worker, in_doubt=len(self.flights))
+        self._give_back(self.outbox.take())
+
+    def _give_back(self, unsent: list) -> None:
+        """Returns assignments to the queue that never reached the transport."""
+        for item in unsent:
+            if isinstance(item, Assign):
+                task = self.flights.pop(item.task_id, None)
+                if task is not None:
+                    self._entry.dispatcher.not_started(task, "unsent")
+
+    def _is_busy(self) -> bool:
+        return bool(self.flights)
+
+    def _note_clock(self, clock_s: float) -> None:
+        self._clock_s = clock_s
+        self.heard_s = trio.current_time()
+
+    async def _read_frames(self, link: Link, watchdog: Watchdog) -> None:
+        while True:
+            try:
+                frame = decode_at_entry(await link.receive())
+            except LinkClosedError:
+                return
+            except msgspec.MsgspecError as error:
+                log_event("frame_malformed", "ERROR", error=error)
+                return
+            watchdog.heard()
+            if isinstance(frame, AgentFrame) and self._link is link:
+                self._receive(frame)
+
+    def _receive(self, frame: AgentFrame) -> None:
+        self._note_clock(frame.clock_s)
+        self._free = frame.free
+        self._free_long = frame.free_long
+        self._assigns_seen = frame.assigns_seen
+        self.granted = frame.is_granted
+        if frame.is_granted:
+            self.demand_told = max(0, self.demand_told - 1)
+        self._note_backend(frame)
+        self.config_version = frame.config_version
+        for item in frame.items:
+            match item:
+                case Result():
+                    self._entry.dispatcher.receive_result(self, item)
+                case ConfigUpdate():
+                    self._entry.adopt(item.version, item.text, "agent")
+                    self._entry.configuration_heard(self)
+        self._entry.dispatcher.pump(self.service)
+        if self.granted:
+            # The queue has emptied meanwhile. The header of the next frame
+            # says so, and frees the slot for others.
+            self.granted = False
+            self._entry.counters.add("grants_unused")
+            self.outbox.poke()
+        self._push_config()
+
+    def _note_backend(self, frame: AgentFrame) -> None:
+        self.slots = frame.slots
+        self.is_quarantined = frame.is_quarantined
+        if frame.service != self.service:
+            self._entry.dispatcher.move_peer(self, frame.service)
+
+    async def _send_frames(self, link: Link, watchdog: Watchdog) -> None:
+        while True:
+            await self.outbox.wait(watchdog.tick_s(self._is_busy()))
+            self._push_config()
+            items = self.outbox.take()
+            try:
+                link.send(encode(self._next_frame(items)))
+            except LinkClosedError:
+                self._give_back(items)
+                return
+
+    def _next_frame(self, items: list) -> EntryFrame:
+        has_assign = any(isinstance(item, Assign) for item in items)
+        kind = "data" if has_assign else "control"
+        self._entry.counters.add("frames_sent", kind)
+        if self._acks:
+            items.append(Ack(self._acks))
+            self._acks = []
+        lane = self._entry.dispatcher.lane(self.service)
+        self.demand_told = lane.demand_at(self)
+        return EntryFrame(
+            basis_s=self._clock_s + trio.current_time() - self.heard_s,
+            demand=self.demand_told,
+            backlog=len(lane.queue),
+            in_flight=lane.in_flight,
+            quarantined_share=lane.quarantined_share(),
+            config_version=self._entry.configuration.version,
+            items=items,
+        )
+
+    def _push_config(self) -> None:
+        mine = self._entry.configuration
+        if mine.version > max(self.config_version, self._config_sent):
+            self._config_sent = mine.version
+            self.outbox.put(ConfigUpdate(mine.version, mine.text))
--- /dev/null
+++ b/gooseberrylink/peers/entry_peer.py
@@ -0,0 +1,167 @@
+"""Keeps the agent's link to one entry."""
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import trio
+
+from gooseberrylink.exceptions import LinkClosedError
+from gooseberrylink.logs import log_event
+from gooseberrylink.peers.link import Link
+from gooseberrylink.peers.messages import (
+    AgentFrame,
+    ConfigUpdate,
+    EntryFrame,
+    EntryHello,
+    decode_at_agent,
+    encode,
+)
+from gooseberrylink.peers.outbox import Outbox
+from gooseberrylink.peers.watchdog import Watchdog
+
+if TYPE_CHECKING:
+    from gooseberrylink.agent import Agent
+
+_RECONNECT_MIN_S = 0.1
+_RECONNECT_MAX_S = 2.0
+_HELLO_TIMEOUT_S = 5.0
+
+
+class EntryPeer:
+    """One entry, as the agent knows it.
+
+    One task dials, says hello and reads; a second one sends.
+
+    Attributes:
+        address: Where the entry takes links.
+        incarnation: The entry's random id; "" before its first hello.
+        running: Tasks of this entry that are running here.
+    """
+
+    def __init__(self, agent: "Agent", address: str):
+        self._agent = agent
+        self.address = address
+        self.incarnation = ""
+        self.name = ""
+        self.running = 0
+        self.outbox = Outbox()
+        self.quarantined_share = 0.0
+        self._link: Link | None = None
+        self._assigns_seen = 0
+        self._config_sent = 0
+        self._config_known = 0
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether the link is up and the entry said hello."""
+        return self._link is not None
+
+    async def run(self) -> None:
+        """Keeps the link up until cancelled."""
+        pause_s = _RECONNECT_MIN_S
+        while True:
+            try:
+                link = await self._agent.dialer.dial(self.address)
+            except LinkClosedError:
+                link = None
+            if link is not None and await self._serve(link):
+                pause_s = _RECONNECT_MIN_S
+            await trio.sleep(pause_s * self._agent.random.uniform(0.5, 1.0))
+            pause_s = min(2 * pause_s, _RECONNECT_MAX_S)
+
+    async def _serve(self, link: Link) -> bool:
+        """Serves one link until it closes; returns whether it ever worked."""
+        try:
+            await self._greet(link)
+        except (LinkClosedError, msgspec.MsgspecError, trio.TooSlowError):
+            link.close()
+            return False
+        self._link = link
+        settings = self._agent.settings
+        watchdog = Watchdog(
+            settings.busy_heartbeat_s, settings.idle_heartbeat_s, settings.max_misses
+        )
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._send_frames, link, watchdog)
+                nursery.start_soon(watchdog.run, link, self._is_busy)
+                await self._read_frames(link, watchdog)
+                nursery.cancel_scope.cancel()
+        finally:
+            link.close()
+            self._link = None
+            self._agent.entry_disconnected(self)
+        return True
+
+    async def _greet(self, link: Link) -> None:
+        link.send(encode(self._agent.hello()))
+        with trio.fail_after(_HELLO_TIMEOUT_S):
+            hello = decode_at_agent(await link.receive())
+        if not isinstance(hello, EntryHello):
+            raise msgspec.ValidationError("the first frame is not a hello")
+        if hello.incarnation != self.incarnation:
+            self.outbox.take()
+        self.incarnation = hello.incarnation
+        self.name = hello.entry
+        self._assigns_seen = 0
+        self._config_sent = 0
+        self._config_known = hello.config_version
+        log_event("entry_connected", entry=hello.entry, address=self.address)
+        self._agent.learn_entries([*hello.entries, hello.address])
+        self.outbox.poke()
+
+    def _is_busy(self) -> bool:
+        return self.running > 0
+
+    async def _read_frames(self, link: Link, watchdog: Watchdog) -> None:
+        while True:
+            try:
+                frame = decode_at_agent(await link.receive())
+            except LinkClosedError:
+                return
+            except msgspec.MsgspecError as error:
+                log_event("frame_malformed", "ERROR", error=error)
+                return
+            watchdog.heard()
+            if isinstance(frame, EntryFrame):
+                self._config_known = frame.config_version
+                self._agent.receive(self, frame)
+                self._push_config()
+
+    def count_assign(self) -> None:
+        """Notes an assignment, so that the entry can tell what we had seen."""
+        self._assigns_seen += 1
+
+    async def _send_frames(self, link: Link, watchdog: Watchdog) -> None:
+        while True:
+            await self.outbox.wait(watchdog.tick_s(self._is_busy()))
+            self._push_config()
+            try:
+                link.send(encode(self._next_frame()))
+            except LinkClosedError:
+                return
+
+    def _next_frame(self) -> AgentFrame:
+        agent = self._agent
+        now_s = trio.current_time()
+        items = self.outbox.take()
+        agent.counters.add("frames_sent", "data" if items else "control")
+        ledger = agent.ledger
+        return AgentFrame(
+            clock_s=now_s,
+            free=ledger.free_for(self.incarnation, now_s),
+            free_long=ledger.free_long_for(self.incarnation, now_s),
+            assigns_seen=self._assigns_seen,
+            is_granted=ledger.has_grant(self.incarnation, now_s),
+            slots=ledger.slots,
+            service=agent.service,
+            is_quarantined=agent.failures.is_quarantined,
+            config_version=agent.configuration.version,
+            items=items,
+        )
+
+    def _push_config(self) -> None:
+        mine = self._agent.configuration
+        if mine.version > max(self._config_known, self._config_sent):
+            self._config_sent = mine.version
+            self.outbox.put(ConfigUpdate(mine.version, mine.text))
--- /dev/null
+++ b/gooseberrylink/peers/link.py
@@ -0,0 +1,88 @@
+"""Defines the link between two processes, and one that stays in memory."""
+
+import math
+from typing import Protocol
+
+import trio
+
+from gooseberrylink.exceptions import LinkClosedError
+
+
+class Link(Protocol):
+    """An ordered, reliable stream of frames to one peer."""
+
+    def send(self, data: bytes) -> None:
+        """Hands a frame to the transport without waiting.
+
+        Raises:
+            LinkClosedError: The link is closed; the frame was not handed over.
+        """
+
+    async def receive(self) -> bytes:
+        """Waits for the next frame.
+
+        Raises:
+            LinkClosedError: The link is closed and no frame is left.
+        """
+
+    def close(self) -> None:
+        """Closes the link at once; frames on their way may be lost."""
+
+
+class Dialer(Protocol):
+    """Opens links to entries."""
+
+    async def dial(self, address: str) -> Link:
+        """Opens a link; raises LinkClosedError if the peer can't be reached."""
+
+
+class MemoryLink:
+    """One end of a link between two objects in the same process.
+
+    Attributes:
+        peer: The other end.
+        is_cut: While true, frames sent here vanish, as on a cut network.
+    """
+
+    def __init__(self):
+        self._inbox_send, self._inbox = trio.open_memory_channel[bytes](math.inf)
+        self.peer: MemoryLink | None = None
+        self.is_cut = False
+        self.is_closed = False
+        self.frames_sent = 0
+
+    def send(self, data: bytes) -> None:
+        """See Link."""
+        if self.is_closed:
+            raise LinkClosedError("the link is closed")
+        self.frames_sent += 1
+        if not self.is_cut:
+            self.peer.deliver(data)
+
+    def deliver(self, data: bytes) -> None:
+        """Puts a frame into the inbox of this end."""
+        if not self.is_closed:
+            self._inbox_send.send_nowait(data)
+
+    async def receive(self) -> bytes:
+        """See Link."""
+        try:
+            return await self._inbox.receive()
+        except (trio.EndOfChannel, trio.ClosedResourceError):
+            raise LinkClosedError("the link is closed") from None
+
+    def close(self) -> None:
+        """See Link; the other end is closed too unless the link is cut."""
+        if self.is_closed:
+            return
+        self.is_closed = True
+        self._inbox_send.close()
+        if not self.is_cut:
+            self.peer.close()
+
+
+def open_memory_link() -> tuple[MemoryLink, MemoryLink]:
+    """Returns the two ends of a new link."""
+    left, right = MemoryLink(), MemoryLink()
+    left.peer, right.peer = right, left
+    return left, right
--- /dev/null
+++ b/gooseberrylink/peers/messages.py
@@ -0,0 +1,175 @@
+"""Defines the messages between entries and agents, and their codec.
+
+A frame is one message on the wire. It carries a header of load figures, which
+thereby travel on messages that flow anyway, and any number of items.
+Times on the wire are seconds on the agent's monotonic clock, or durations.
+"""
+
+import enum
+from typing import Any
+
+import msgspec
+
+
+class Status(enum.IntEnum):
+    """What an agent knows of a task."""
+
+    DONE = 1
+    FAILED = 2
+    NOT_STARTED = 3
+    RUNNING = 4
+    MAY_HAVE_RUN = 5
+
+
+class AgentHello(msgspec.Struct, tag="ah", array_like=True):
+    """First frame of an agent on a new link.
+
+    Attributes:
+        incarnation: Random id of this run of the agent; its records end with it.
+        clock_s: The agent's monotonic clock.
+        entries: Addresses of entries that the agent knows.
+    """
+
+    worker: str
+    incarnation: str
+    data_centre: str
+    service: str
+    slots: int
+    clock_s: float
+    entries: list[str]
+    config_version: int = 0
+    speed_hint: float = 1.0
+
+
+class EntryHello(msgspec.Struct, tag="eh", array_like=True):
+    """Answer of the entry to an agent's hello."""
+
+    entry: str
+    incarnation: str
+    address: str
+    entries: list[str]
+    config_version: int = 0
+
+
+class Assign(msgspec.Struct, tag="a", array_like=True):
+    """Asks the agent to start a task.
+
+    Attributes:
+        remaining_s: Time left until the task may no longer be started.
+        is_holdable: Whether the agent may queue it when no slot is free.
+        demand_ratio: Tasks that the customer asked of the entry lately, for
+            each task that its quota admitted.
+    """
+
+    task_id: str
+    job_id: str
+    customer: str
+    payload: Any
+    remaining_s: float
+    is_long: bool = False
+    is_holdable: bool = False
+    demand_ratio: float = 1.0
+
+
+class Revoke(msgspec.Struct, tag="r", array_like=True):
+    """Asks that these tasks never start; each gets a Result in answer."""
+
+    task_ids: list[str]
+
+
+class Ack(msgspec.Struct, tag="k", array_like=True):
+    """Says that these results arrived and need not be kept."""
+
+    task_ids: list[str]
+
+
+class Result(msgspec.Struct, tag="s", array_like=True):
+    """What the agent knows of a task.
+
+    Attributes:
+        reason: Short snake_case reason for refusals and failures.
+        run_s: Run time at the backend server, in seconds.
+        demand_for_each_own: The customer's demand at this agent over all
+            entries, for each unit of this entry's; 0 if unknown.
+    """
+
+    task_id: str
+    status: Status
+    value: Any = None
+    reason: str = ""
+    run_s: float = 0.0
+    demand_for_each_own: float = 0.0
+
+
+class ConfigUpdate(msgspec.Struct, tag="c", array_like=True):
+    """Carries an accepted configuration to a peer that has an older one."""
+
+    version: int
+    text: str
+
+
+class EntryFrame(msgspec.Struct, tag="ef", array_like=True):
+    """A message from entry to agent.
+
+    Attributes:
+        basis_s: The entry's estimate of the agent's clock at sending; never
+            later than the true value. Grounds the lease of held tasks.
+        demand: How many more slots the entry would use at this agent.
+        backlog: Tasks queued at the entry for the agent's service.
+        in_flight: Tasks of the entry that are at agents of the service.
+        quarantined_share: Share of the service's agents in quarantine.
+    """
+
+    basis_s: float
+    demand: int = 0
+    backlog: int = 0
+    in_flight: int = 0
+    quarantined_share: float = 0.0
+    config_version: int = 0
+    items: list[Assign | Revoke | Ack | ConfigUpdate] = []
+
+
+class AgentFrame(msgspec.Struct, tag="af", array_like=True):
+    """A message from agent to entry.
+
+    Attributes:
+        clock_s: The agent's monotonic clock at sending.
+        free: Slots that this entry may use now.
+        free_long: Slots that this entry may use now for long tasks.
+        assigns_seen: How many Assign items arrived on this link so far.
+        is_granted: Whether a slot is reserved for this entry.
+        slots: Slots of the backend server; 0 if there is none or it is leaving.
+        service: Service of the backend server; it may change with the server.
+        is_quarantined: Whether the agent takes only single probe tasks.
+    """
+
+    clock_s: float
+    free: int
+    free_long: int
+    assigns_seen: int
+    is_granted: bool = False
+    slots: int = 0
+    service: str = ""
+    is_quarantined: bool = False
+    config_version: int = 0
+    items: list[Result | ConfigUpdate] = []
+
+
+_encoder = msgspec.msgpack.Encoder()
+_to_agent = msgspec.msgpack.Decoder(EntryHello | EntryFrame)
+_to_entry = msgspec.msgpack.Decoder(AgentHello | AgentFrame)
+
+
+def encode(frame: AgentHello | EntryHello | EntryFrame | AgentFrame) -> bytes:
+    """Encodes a frame as MessagePack."""
+    return _encoder.encode(frame)
+
+
+def decode_at_agent(data: bytes) -> EntryHello | EntryFrame:
+    """Decodes what an entry sent; raises msgspec.ValidationError."""
+    return _to_agent.decode(data)
+
+
+def decode_at_entry(data: bytes) -> AgentHello | AgentFrame:
+    """Decodes what an agent sent; raises msgspec.ValidationError."""
+    return _to_entry.decode(data)
--- /dev/null
+++ b/gooseberrylink/peers/outbox.py
@@ -0,0 +1,42 @@
+"""Collects what is to be sent to a peer until its sender task wakes up."""
+
+import trio
+
+
+class Outbox:
+    """Items waiting for the next frame to one peer.
+
+    Everything put here before the sender runs leaves in one frame.
+    """
+
+    def __init__(self):
+        self._items: list = []
+        self._wakeup = trio.Event()
+
+    def __len__(self) -> int:
+        return len(self._items)
+
+    def put(self, item) -> None:
+        """Adds an item and wakes the sender."""
+        self._items.append(item)
+        self._wakeup.set()
+
+    def put_lazily(self, item) -> None:
+        """Adds an item that can wait for the next frame."""
+        self._items.append(item)
+
+    def poke(self) -> None:
+        """Wakes the sender even if there is no item, to send its header."""
+        self._wakeup.set()
+
+    async def wait(self, timeout_s: float) -> bool:
+        """Waits until there is something to send; returns False on time-out."""
+        with trio.move_on_after(timeout_s) as scope:
+            await self._wakeup.wait()
+        self._wakeup = trio.Event()
+        return not scope.cancelled_caught
+
+    def take(self) -> list:
+        """Removes and returns all items."""
+        items, self._items = self._items, []
+        return items
--- /dev/null
+++ b/gooseberrylink/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Talks to the platform's table service and object store."""
--- /dev/null
+++ b/gooseberrylink/platform/client.py
@@ -0,0 +1,140 @@
+"""Calls the platform's table service and object store over HTTP/JSON.
+
+Source of the protocol: the description in docs/PLATFORM.md.
+"""
+
+import dataclasses
+import urllib.parse
+from typing import Any, Protocol
+
+import httpcore
+import msgspec
+import trio
+from returns.result import Failure, Result, Success
+
+from gooseberrylink.counters import Counters
+from gooseberrylink.platform.results import PlatformError, Put, Row, Trouble
+from gooseberrylink.retry_budget import RetryBudget
+
+_CONNECT_TIMEOUT_S = 0.5
+_CALL_TIMEOUT_S = 1.0
+_RETRY_PAUSE_S = 0.05
+_MAX_CONNECTIONS = 8
+
+
+class Platform(Protocol):
+    """The parts of the platform that the system uses."""
+
+    async def read(self, table: str, key: str) -> Result[Row, PlatformError]:
+        """Reads a row."""
+
+    async def write(self, puts: list[Put]) -> Result[list[int], PlatformError]:
+        """Writes all rows or none; returns their new versions."""
+
+    async def read_object(self, name: str) -> Result[bytes, PlatformError]:
+        """Reads an object."""
+
+    async def write_object(self, name: str, data: bytes) -> Result[None, PlatformError]:
+        """Writes an object; writing the same again is harmless."""
+
+
+class HttpPlatform:
+    """See Platform.
+
+    Reads are retried within a budget. Writes are not: the caller must first
+    read back what an unknown outcome left behind.
+    """
+
+    def __init__(self, address: str, counters: Counters):
+        self._base = f"http://{address}/v1"
+        self._counters = counters
+        self._budget = RetryBudget(share=0.1, reserve=5.0)
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=_MAX_CONNECTIONS, keepalive_expiry=10.0
+        )
+
+    async def read(self, table: str, key: str) -> Result[Row, PlatformError]:
+        """See Platform."""
+        quoted = urllib.parse.quote(key, safe="")
+        result = await self._call_with_retry("GET", f"/tables/{table}/{quoted}")
+        return result.map(lambda body: msgspec.convert(_json(body), Row))
+
+    async def write(self, puts: list[Put]) -> Result[list[int], PlatformError]:
+        """See Platform."""
+        body = {"puts": [dataclasses.asdict(put) for put in puts]}
+        result = await self._call("POST", "/transactions", msgspec.json.encode(body))
+        return result.map(lambda answer: _json(answer)["versions"])
+
+    async def read_object(self, name: str) -> Result[bytes, PlatformError]:
+        """See Platform."""
+        return await self._call_with_retry("GET", f"/objects/{name}")
+
+    async def write_object(self, name: str, data: bytes) -> Result[None, PlatformError]:
+        """See Platform."""
+        result = await self._call("PUT", f"/objects/{name}", data)
+        return result.map(lambda _: None)
+
+    async def _call_with_retry(
+        self, method: str, path: str
+    ) -> Result[bytes, PlatformError]:
+        self._budget.earn()
+        while True:
+            result = await self._call(method, path)
+            match result:
+                case Failure(
+                    PlatformError(trouble=Trouble.UNAVAILABLE | Trouble.UNKNOWN_OUTCOME)
+                ) if self._budget.spend():
+                    self._counters.add("retries", "platform_read")
+                    await trio.sleep(_RETRY_PAUSE_S)
+                case _:
+                    return result
+
+    async def _call(
+        self, method: str, path: str, body: bytes = b""
+    ) -> Result[bytes, PlatformError]:
+        self._counters.add("platform_calls", method.lower())
+        sent = False
+
+        async def trace(event: str, info: dict) -> None:
+            nonlocal sent
+            sent = sent or event == "http11.send_request_headers.started"
+
+        timeout = {"connect": _CONNECT_TIMEOUT_S, "pool": _CALL_TIMEOUT_S}
+        try:
+            with trio.fail_after(_CALL_TIMEOUT_S):
+                response = await self._pool.request(
+                    method,
+                    self._base + path,
+                    headers={"Content-Type": "application/json"},
+                    content=body,
+                    extensions={"timeout": timeout, "trace": trace},
+                )
+        except (httpcore.NetworkError, httpcore.TimeoutException) as error:
+            return self._trouble(sent, error)
+        except (httpcore.ProtocolError, trio.TooSlowError) as error:
+            return self._trouble(sent, error)
+        return self._interpret(response)
+
+    def _trouble(self, sent: bool, error: Exception) -> Failure:
+        trouble = Trouble.UNKNOWN_OUTCOME if sent else Trouble.UNAVAILABLE
+        self._counters.add("platform_troubles", trouble.name.lower())
+        return Failure(PlatformError(trouble, type(error).__name__))
+
+    def _interpret(self, response: httpcore.Response) -> Result[bytes, PlatformError]:
+        if response.status in (200, 201):
+            return Success(response.content)
+        if response.status == 404:
+            return Failure(PlatformError(Trouble.NOT_FOUND))
+        if response.status == 409:
+            conflicts = tuple(_json(response.content)["conflicts"])
+            return Failure(PlatformError(Trouble.CONFLICT, conflicts=conflicts))
+        # 503 with this header comes from the platform's front: nothing was done.
+        headers = {name.lower(): value for name, value in response.headers}
+        is_untouched = headers.get(b"x-no-effect") == b"1"
+        trouble = Trouble.UNAVAILABLE if is_untouched else Trouble.UNKNOWN_OUTCOME
+        self._counters.add("platform_troubles", trouble.name.lower())
+        return Failure(PlatformError(trouble, f"status {response.status}"))
+
+
+def _json(body: bytes) -> Any:
+    return msgspec.json.decode(body)
--- /dev/null
+++ b/gooseberrylink/routing.py
@@ -0,0 +1,118 @@
+"""Chooses the worker for the next task."""
+
+import random
+from typing import Protocol
+
+from gooseberrylink.peers.agent_peer import AgentPeer
+from gooseberrylink.runtimes import RuntimeModel
+from gooseberrylink.types import Task
+
+_LOCAL_BONUS = 1.05
+_FRESH_S = 0.25
+_STALE_FACTOR = 0.9
+
+
+class RoutingPolicy(Protocol):
+    """Chooses workers for tasks.
+
+    Attributes:
+        is_holding: Whether tasks are sent to wait at workers without a free
+            slot. If not, they wait at the entry.
+        orders_queue: Whether the entry's queue is ordered by job size and
+            customer, rather than by arrival.
+    """
+
+    is_holding: bool
+    orders_queue: bool
+
+    def choose(
+        self, task: Task, peers: list[AgentPeer], now_s: float
+    ) -> AgentPeer | None:
+        """Returns the worker for a task; None if it has to wait."""
+
+
+class RandomPolicy:
+    """Baseline: any worker, whatever its load."""
+
+    is_holding = True
+    orders_queue = False
+
+    def __init__(self, rng: random.Random):
+        self._random = rng
+
+    def choose(
+        self, task: Task, peers: list[AgentPeer], now_s: float
+    ) -> AgentPeer | None:
+        """See RoutingPolicy."""
+        able = [peer for peer in peers if peer.can_serve]
+        return self._random.choice(able) if able else None
+
+
+class LeastInFlightPolicy:
+    """Baseline: the worker with the fewest tasks of this entry for its slots."""
+
+    is_holding = True
+    orders_queue = False
+
+    def __init__(self, rng: random.Random):
+        self._random = rng
+
+    def choose(
+        self, task: Task, peers: list[AgentPeer], now_s: float
+    ) -> AgentPeer | None:
+        """See RoutingPolicy."""
+        able = [peer for peer in peers if peer.can_serve]
+        if not able:
+            return None
+        return min(able, key=self._load)
+
+    def _load(self, peer: AgentPeer) -> tuple[float, float]:
+        return len(peer.flights) / peer.slots, self._random.random()
+
+
+class LateBindingPolicy:
+    """Keeps tasks at the entry until a slot is free; fastest slot first."""
+
+    is_holding = False
+    orders_queue = True
+
+    def __init__(self, rng: random.Random, runtimes: RuntimeModel, data_centre: str):
+        self._random = rng
+        self._runtimes = runtimes
+        self._data_centre = data_centre
+
+    def choose(
+        self, task: Task, peers: list[AgentPeer], now_s: float
+    ) -> AgentPeer | None:
+        """See RoutingPolicy."""
+        best, best_score = None, 0.0
+        for peer in peers:
+            free = peer.free_long if task.is_long else peer.free
+            if free <= 0:
+                continue
+            score = self._score(peer, free, now_s)
+            if score > best_score:
+                best, best_score = peer, score
+        return best
+
+    def _score(self, peer: AgentPeer, free: int, now_s: float) -> float:
+        score = self._runtimes.speed(peer.worker)
+        if peer.granted:
+            score *= 2.0
+        if peer.data_centre == self._data_centre:
+            score *= _LOCAL_BONUS
+        if now_s - peer.heard_s > _FRESH_S and free < 2:
+            # An old word of a single free slot is probably out of date.
+            score *= _STALE_FACTOR
+        return score
+
+
+def make_policy(
+    name: str, rng: random.Random, runtimes: RuntimeModel, data_centre: str
+) -> RoutingPolicy:
+    """Returns the policy that the settings name."""
+    if name == "random":
+        return RandomPolicy(rng)
+    if name == "least-in-flight":
+        return LeastInFlightPolicy(rng)
+    return LateBindingPolicy(rng, runtimes, data_centre)
--- /dev/null
+++ b/gooseberrylink/slots.py
@@ -0,0 +1,150 @@
+"""Shares the slots of one backend server among the entries and task classes."""
+
+import dataclasses
+
+_SHORT_RESERVE_MAX = 3
+_SHORT_BUSY_DECAY_S = 2.0
+
+
+@dataclasses.dataclass(slots=True)
+class EntryDemand:
+    """What an entry last said of its queue.
+
+    Attributes:
+        demand: Slots that the entry still wants at this agent.
+        pressure: Its queue length for each of its tasks in flight.
+        stated_s: When it said so, on the agent's clock.
+        grant_ends_s: When the slot reserved for it is free again; 0 if none.
+    """
+
+    demand: int = 0
+    pressure: float = 0.0
+    stated_s: float = 0.0
+    grant_ends_s: float = 0.0
+
+
+class SlotLedger:
+    """Counts the slots in use and decides which entry gets a freed one.
+
+    A freed slot goes to the entry whose task ended, unless another entry has
+    a markedly longer queue for its share. Then the slot is reserved for that
+    entry for a short time, so that permits follow demand.
+
+    Long tasks never take the last few slots, as long as short tasks come by.
+
+    Attributes:
+        slots: Slots of the backend server.
+        running: Slots in use.
+        running_long: Slots in use by long tasks, overruns included.
+    """
+
+    def __init__(self, grant_s: float, demand_valid_s: float, pressure_ratio: float):
+        self._grant_s = grant_s
+        self._demand_valid_s = demand_valid_s
+        self._pressure_ratio = pressure_ratio
+        self.slots = 0
+        self.limit = 0
+        self.running = 0
+        self.running_long = 0
+        self._entries: dict[str, EntryDemand] = {}
+        self._short_busy = 0.0
+        self._short_busy_s = 0.0
+
+    def state_demand(
+        self, entry: str, demand: int, backlog: int, in_flight: int, now_s: float
+    ) -> None:
+        """Notes what an entry says of its queue."""
+        state = self._entries.setdefault(entry, EntryDemand())
+        state.demand = demand
+        state.pressure = backlog / (in_flight + 1)
+        state.stated_s = now_s
+        if backlog == 0:
+            state.grant_ends_s = 0.0
+
+    def remove_entry(self, entry: str) -> None:
+        """Frees what was reserved for an entry that is gone."""
+        self._entries.pop(entry, None)
+
+    def free_for(self, entry: str, now_s: float) -> int:
+        """Returns how many slots an entry may use now."""
+        reserved = sum(
+            state.grant_ends_s > now_s
+            for name, state in self._entries.items()
+            if name != entry
+        )
+        return max(0, min(self.slots, self.limit) - self.running - reserved)
+
+    def free_long_for(self, entry: str, now_s: float) -> int:
+        """Returns how many slots an entry may use now for long tasks."""
+        room = self.slots - self._short_reserve(now_s) - self.running_long
+        return max(0, min(self.free_for(entry, now_s), room))
+
+    def start(self, entry: str, is_long: bool, now_s: float) -> None:
+        """Takes a slot for a task of an entry, and its grant if it has one."""
+        self._note_short_busy(now_s)
+        self.running += 1
+        self.running_long += is_long
+        state = self._entries.get(entry)
+        if state is not None:
+            state.grant_ends_s = 0.0
+
+    def overrun(self, now_s: float) -> None:
+        """Counts a running short task as long from now on."""
+        self._note_short_busy(now_s)
+        self.running_long += 1
+
+    def end(self, is_long: bool, now_s: float) -> None:
+        """Gives back the slot of a task that ended."""
+        self._note_short_busy(now_s)
+        self.running -= 1
+        self.running_long -= is_long
+
+    def grant_freed_slot(self, owner: str, now_s: float) -> str | None:
+        """Chooses who gets a slot that the owner's task just left.
+
+        Returns:
+            The entry that the slot is now reserved for, or None if the slot
+            stays open to all, first of all to the owner.
+        """
+        if self.free_for("", now_s) <= 0:
+            return None
+        own = self._fresh_pressure(owner, now_s)
+        best, best_pressure = None, own * self._pressure_ratio
+        for name, state in self._entries.items():
+            if name == owner or state.demand <= 0 or state.grant_ends_s > now_s:
+                continue
+            pressure = self._fresh_pressure(name, now_s)
+            if pressure > best_pressure:
+                best, best_pressure = name, pressure
+        if best is None:
+            return None
+        state = self._entries[best]
+        state.demand -= 1
+        state.grant_ends_s = now_s + self._grant_s
+        return best
+
+    def has_grant(self, entry: str, now_s: float) -> bool:
+        """Says whether a slot is reserved for the entry."""
+        state = self._entries.get(entry)
+        return state is not None and state.grant_ends_s > now_s
+
+    def _fresh_pressure(self, entry: str, now_s: float) -> float:
+        state = self._entries.get(entry)
+        if state is None or now_s - state.stated_s > self._demand_valid_s:
+            return 0.0
+        return state.pressure
+
+    def _short_reserve(self, now_s: float) -> int:
+        """Slots kept from long tasks: as many as short tasks used lately."""
+        self._note_short_busy(now_s)
+        wanted = round(self._short_busy + 0.5)
+        return max(0, min(_SHORT_RESERVE_MAX, self.slots - 1, wanted))
+
+    def _note_short_busy(self, now_s: float) -> None:
+        elapsed_s = now_s - self._short_busy_s
+        if elapsed_s <= 0:
+            return
+        weight = min(1.0, elapsed_s / _SHORT_BUSY_DECAY_S)
+        short = self.running - self.running_long
+        self._short_busy += weight * (short - self._short_busy)
+        self._short_busy_s = now_s
--- /dev/null
+++ b/gooseberrylink/standins/backend.py
@@ -0,0 +1,124 @@
+"""Stands in for a backend server, and keeps the log of what it started."""
+
+import collections
+import contextlib
+import dataclasses
+from typing import Any
+
+import httpcore
+import msgspec
+import trio
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from gooseberrylink.backends.server import Announcement, BackendOutcome
+from gooseberrylink.peers.messages import Status
+
+_RENEW_S = 1.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Start:
+    """One start of a task, as the backend server saw it."""
+
+    task_id: str
+    job_id: str
+    customer: str
+    worker: str
+    started_s: float
+
+
+class FakeBackend:
+    """Runs tasks by sleeping; implements BackendServer.
+
+    A payload may say {"run_s": seconds, "fail": true, "value": anything}.
+
+    Attributes:
+        speed: Run times are divided by this.
+        is_failing: Whether every task fails at once, whatever it is.
+        starts: Every start, in order; the judge of all promises.
+    """
+
+    def __init__(self, worker: str, speed: float = 1.0, is_failing: bool = False):
+        self.worker = worker
+        self.speed = speed
+        self.is_failing = is_failing
+        self.starts: list[Start] = []
+        self.running = 0
+        self.most_running = 0
+
+    async def run(
+        self, task_id: str, job_id: str, customer: str, payload: Any
+    ) -> BackendOutcome:
+        """See BackendServer."""
+        started_s = trio.current_time()
+        self.starts.append(Start(task_id, job_id, customer, self.worker, started_s))
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        try:
+            return await self._run(payload, started_s)
+        finally:
+            self.running -= 1
+
+    async def _run(self, payload: Any, started_s: float) -> BackendOutcome:
+        payload = payload if isinstance(payload, dict) else {}
+        if self.is_failing:
+            await trio.sleep(0.002)
+            return BackendOutcome(Status.FAILED, reason="backend_error")
+        await trio.sleep(payload.get("run_s", 0.0) / self.speed)
+        run_s = trio.current_time() - started_s
+        if payload.get("fail"):
+            return BackendOutcome(Status.FAILED, reason="backend_error", run_s=run_s)
+        return BackendOutcome(Status.DONE, payload.get("value"), run_s=run_s)
+
+
+def starts_by_task(backends: list[FakeBackend]) -> collections.Counter[str]:
+    """Counts the starts of each task over all backend servers."""
+    return collections.Counter(
+        start.task_id for backend in backends for start in backend.starts
+    )
+
+
+class BackendApi:
+    """Serves a FakeBackend over HTTP and announces it to its agent."""
+
+    def __init__(self, backend: FakeBackend, service: str, slots: int):
+        self._backend = backend
+        self._service = service
+        self._slots = slots
+        self.app = Starlette(
+            routes=[
+                Route("/tasks", self._run_task, methods=["POST"]),
+                Route("/starts", self._list_starts),
+            ]
+        )
+
+    async def announce_forever(self, agent_address: str, own_address: str) -> None:
+        """Announces the backend server until cancelled, then leaves."""
+        announcement = Announcement(self._service, own_address, self._slots)
+        body = msgspec.json.encode(announcement)
+        url = f"http://{agent_address}/v1/backend"
+        async with httpcore.AsyncConnectionPool() as pool:
+            try:
+                while True:
+                    with contextlib.suppress(httpcore.NetworkError):
+                        await pool.request("PUT", url, content=body)
+                    await trio.sleep(_RENEW_S)
+            finally:
+                with trio.CancelScope(shield=True, deadline=trio.current_time() + 1):
+                    with contextlib.suppress(Exception):
+                        await pool.request("DELETE", url)
+
+    async def _run_task(self, request: Request) -> Response:
+        body = await request.json()
+        outcome = await self._backend.run(
+            body["task_id"], body["job_id"], body["customer"], body["payload"]
+        )
+        if outcome.status is Status.DONE:
+            return JSONResponse({"result": outcome.value})
+        return JSONResponse({"error": outcome.reason}, 500)
+
+    async def _list_starts(self, request: Request) -> Response:
+        return JSONResponse([dataclasses.asdict(s) for s in self._backend.starts])
--- /dev/null
+++ b/gooseberrylink/standins/network.py
@@ -0,0 +1,94 @@
+"""Wires entries and agents of one process together by links in memory."""
+
+import dataclasses
+
+import trio
+
+from gooseberrylink.entry import Entry
+from gooseberrylink.exceptions import LinkClosedError
+from gooseberrylink.peers.link import MemoryLink, open_memory_link
+
+
+@dataclasses.dataclass(slots=True)
+class Connection:
+    """A link between an agent and an entry."""
+
+    worker: str
+    address: str
+    agent_end: MemoryLink
+    entry_end: MemoryLink
+
+
+class MemoryNetwork:
+    """Connects agents to entries, with faults on demand.
+
+    Attributes:
+        connections: Every link ever opened, the newest last.
+        unreachable: Pairs (worker, address) that can't connect.
+    """
+
+    def __init__(self, nursery: trio.Nursery):
+        self._nursery = nursery
+        self._entries: dict[str, Entry] = {}
+        self.connections: list[Connection] = []
+        self.unreachable: set[tuple[str, str]] = set()
+
+    def listen(self, address: str, entry: Entry) -> None:
+        """Makes an entry reachable at an address."""
+        entry.address = address
+        self._entries[address] = entry
+
+    def close(self, address: str) -> None:
+        """Makes an address unreachable and closes its links."""
+        self._entries.pop(address, None)
+        for connection in self.of(address=address):
+            connection.entry_end.close()
+
+    def dialer(self, worker: str) -> "MemoryDialer":
+        """Returns the dialer for one agent."""
+        return MemoryDialer(self, worker)
+
+    def of(self, worker: str = "", address: str = "") -> list[Connection]:
+        """Returns the open links of a worker, an address, or both."""
+        return [
+            c
+            for c in self.connections
+            if (not worker or c.worker == worker)
+            and (not address or c.address == address)
+            and not (c.agent_end.is_closed and c.entry_end.is_closed)
+        ]
+
+    def cut(self, worker: str, address: str = "") -> None:
+        """Cuts links silently: frames vanish and nobody is told."""
+        for connection in self.of(worker, address):
+            connection.agent_end.is_cut = True
+            connection.entry_end.is_cut = True
+        for known in [address] if address else list(self._entries):
+            self.unreachable.add((worker, known))
+
+    def heal(self, worker: str) -> None:
+        """Lets a worker connect again; cut links stay cut."""
+        self.unreachable = {pair for pair in self.unreachable if pair[0] != worker}
+
+    def connect(self, worker: str, address: str) -> MemoryLink:
+        """Opens a link; raises LinkClosedError if it can't be."""
+        entry = self._entries.get(address)
+        if entry is None or (worker, address) in self.unreachable:
+            raise LinkClosedError(f"{address} can't be reached")
+        agent_end, entry_end = open_memory_link()
+        self.connections.append(Connection(worker, address, agent_end, entry_end))
+        self._nursery.start_soon(entry.serve_link, entry_end)
+        return agent_end
+
+
+@dataclasses.dataclass(slots=True)
+class MemoryDialer:
+    """Opens links in memory; see Dialer."""
+
+    network: MemoryNetwork
+    worker: str
+
+    async def dial(self, address: str) -> MemoryLink:
+        """See Dialer."""
+        await trio.lowlevel.checkpoint()
+        return self.network.connect(self.worker, address)
--- /dev/null
+++ b/gooseberrylink/task_queue.py
@@ -0,0 +1,65 @@
+"""Orders the tasks of one service that wait for a slot."""
+
+import heapq
+import itertools
+
+from gooseberrylink.types import Task, TaskState
+
+
+class TaskQueue:
+    """Waiting tasks, short and long ones apart, each by their order key.
+
+    Attributes:
+        work_s: Expected run time of all waiting tasks, in seconds.
+    """
+
+    def __init__(self):
+        self._short: list[tuple[tuple[int, float], int, Task]] = []
+        self._long: list[tuple[tuple[int, float], int, Task]] = []
+        self._sequence = itertools.count()
+        self._length = 0
+        self.work_s = 0.0
+
+    def __len__(self) -> int:
+        return self._length
+
+    def push(self, task: Task) -> None:
+        """Adds a task; it must be in state QUEUED."""
+        heap = self._long if task.is_long else self._short
+        heapq.heappush(heap, (task.order, next(self._sequence), task))
+        self._length += 1
+        self.work_s += task.expected_s
+
+    def peek(self, is_long: bool) -> Task | None:
+        """Returns the first short or long task without removing it."""
+        heap = self._long if is_long else self._short
+        while heap and heap[0][2].state is not TaskState.QUEUED:
+            heapq.heappop(heap)
+        return heap[0][2] if heap else None
+
+    def pop(self, is_long: bool) -> Task:
+        """Removes and returns what peek() returned."""
+        heap = self._long if is_long else self._short
+        task = heapq.heappop(heap)[2]
+        self._forget(task)
+        return task
+
+    def drop(self, task: Task) -> None:
+        """Takes a waiting task out, which ends in state NOT_STARTED."""
+        task.state = TaskState.NOT_STARTED
+        self._forget(task)
+
+    def work_before_s(self, order: tuple[int, float]) -> float:
+        """Returns the expected run time of the tasks that come before a key."""
+        return sum(
+            task.expected_s
+            for heap in (self._short, self._long)
+            for key, _, task in heap
+            if key < order and task.state is TaskState.QUEUED
+        )
+
+    def _forget(self, task: Task) -> None:
+        self._length -= 1
+        self.work_s = max(0.0, self.work_s - task.expected_s)
+        if not self._length:
+            self.work_s = 0.0
--- /dev/null
+++ b/gooseberrylink/types.py
@@ -0,0 +1,127 @@
+"""Holds the data classes that the modules of an entry share."""
+
+import dataclasses
+import enum
+from typing import Any
+
+import trio
+
+from gooseberrylink.codes import Code, Truth
+
+
+@dataclasses.dataclass(slots=True)
+class TaskSpec:
+    """One task as the caller described it.
+
+    Attributes:
+        payload: JSON value that is passed to the backend server.
+        declared_s: Run time that the caller expects, in seconds; 0 if unsaid.
+    """
+
+    payload: Any
+    declared_s: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class JobRequest:
+    """A validated job, before admission.
+
+    Attributes:
+        deadline_s: Seconds from submission within which an answer is useful.
+        idempotency_key: Names the request across submissions; "" if none.
+        job_id: The caller's name for this submission; "" if none.
+    """
+
+    customer: str
+    service: str
+    tasks: list[TaskSpec]
+    deadline_s: float
+    repeatable: bool = True
+    idempotency_key: str = ""
+    job_id: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """The answer to a job: every result in task order, or one code.
+
+    Attributes:
+        results: One value per task, in order; None unless the code is OK.
+        retry_after_s: For refusals, when to try again; None if pointless.
+    """
+
+    code: Code
+    detail: str = ""
+    results: list[Any] | None = None
+    retry_after_s: float | None = None
+
+    @property
+    def truth(self) -> Truth:
+        """Whether any task of the job was started."""
+        return self.code.truth
+
+
+class TaskState(enum.Enum):
+    """Where a task is, as far as the entry knows."""
+
+    QUEUED = "queued"
+    ASSIGNED = "assigned"
+    DONE = "done"
+    RAN = "ran"
+    NOT_STARTED = "not started"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Task:
+    """A task of an admitted job.
+
+    Attributes:
+        expected_s: Predicted run time on a worker of relative speed 1.
+        order: Sort key in the queue; the lowest starts first.
+        is_long: Whether the task may only use slots open to long tasks.
+        worker: Name of the worker that has the task; "" while queued.
+        attempts: How often it was assigned, for retry accounting.
+    """
+
+    task_id: str
+    job: "Job"
+    index: int
+    spec: TaskSpec
+    expected_s: float
+    order: tuple[int, float]
+    is_long: bool
+    state: TaskState = TaskState.QUEUED
+    worker: str = ""
+    attempts: int = 0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Job:
+    """An admitted job, until its answer is given.
+
+    Attributes:
+        submitted_s: Time of submission on the entry's clock.
+        expires_s: Time on the entry's clock after which nothing is started.
+        settled: Set when every task has reached a final state.
+    """
+
+    job_id: str
+    request: JobRequest
+    submitted_s: float
+    expires_s: float
+    tasks: list[Task] = dataclasses.field(default_factory=list)
+    results: list[Any] = dataclasses.field(default_factory=list)
+    unfinished: int = 0
+    failure: Answer | None = None
+    is_cancelled: bool = False
+    changed: trio.Event = dataclasses.field(default_factory=trio.Event)
+
+    def truth(self) -> Truth:
+        """Whether any task was started, from the states of all tasks."""
+        states = {task.state for task in self.tasks}
+        if TaskState.DONE in states or TaskState.RAN in states:
+            return Truth.RAN
+        if TaskState.UNKNOWN in states or TaskState.ASSIGNED in states:
+            return Truth.MAY_HAVE_RUN
+        return Truth.NOT_RUN
