--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -150,22 +150,20 @@
         """Handles one frame of an entry."""
         now_s = trio.current_time()
         self.gate.renew_lease(peer.incarnation, frame.basis_s)
-        self.ledger.state_demand(
-            peer.incarnation, frame.demand, frame.backlog, frame.in_flight, now_s
-        )
+        self.ledger.state_demand(peer.incarnation, frame, now_s)
         peer.quarantined_share = frame.quarantined_share
         for item in frame.items:
             match item:
                 case Assign():
                     self._take_assign(peer, item, frame.basis_s, now_s)
                 case Revoke():
-                    for task_id in item.task_ids:
-                        self._revoke(peer, task_id, now_s)
+                    for assignment_id in item.assignment_ids:
+                        self._revoke(peer, assignment_id, now_s)
                 case Ack():
-                    self.gate.acknowledge(item.task_ids, now_s)
+                    self.gate.acknowledge(item.assignment_ids, now_s)
                 case ConfigUpdate():
                     self.configuration.adopt(item.version, item.text, "entry")
-        if frame.demand and self.ledger.free_for(peer.incarnation, now_s):
+        if self.ledger.has_room_for(peer.incarnation, now_s):
             # The entry asks although a slot is free: its view is out of date.
             peer.outbox.poke()
 
@@ -182,7 +180,7 @@
         record = self.gate.admit(assign, peer.incarnation, basis_s, now_s)
         if isinstance(record, str):
             if record != "duplicate":
-                self._refuse(peer, assign.task_id, record)
+                self._refuse(peer, assign.assignment_id, record)
             return
         self._update_limit()
         reason = self._reason_not_to_start(peer, assign, now_s)
@@ -192,7 +190,7 @@
             self._held.append(record)
         else:
             self.gate.drop(record, reason, now_s)
-            self._refuse(peer, assign.task_id, reason)
+            self._refuse(peer, assign.assignment_id, reason)
 
     def _reason_not_to_start(
         self, peer: EntryPeer, assign: Assign, now_s: float
@@ -214,18 +212,18 @@
     def _may_hold(self, assign: Assign) -> bool:
         return assign.is_holdable and len(self._held) < self.settings.max_held
 
-    def _refuse(self, peer: EntryPeer, task_id: str, reason: str) -> None:
+    def _refuse(self, peer: EntryPeer, assignment_id: str, reason: str) -> None:
         self.counters.add("assigns_refused", reason)
-        peer.outbox.put(Result(task_id, Status.NOT_STARTED, reason=reason))
+        peer.outbox.put(Result(assignment_id, Status.NOT_STARTED, reason=reason))
 
     def _start(self, peer: EntryPeer, record: Record, now_s: float) -> None:
         if not self.gate.start(record, now_s):
-            self._refuse(peer, record.task_id, record.result.reason)
+            self._refuse(peer, record.assignment_id, record.result.reason)
             return
         assign = record.assign
-        self._running[record.task_id] = record
+        self._running[record.assignment_id] = record
         if assign.is_long:
-            self._long_ids.add(record.task_id)
+            self._long_ids.add(record.assignment_id)
         self.ledger.start(peer.incarnation, assign.is_long, now_s)
         self._usage.add(assign.customer, peer.incarnation, assign.demand_ratio, now_s)
         peer.running += 1
@@ -250,10 +248,10 @@
         self._use_free_slots(peer, now_s)
 
     def _free_slot(self, peer: EntryPeer, record: Record, now_s: float) -> None:
-        del self._running[record.task_id]
+        del self._running[record.assignment_id]
         peer.running -= 1
-        self.ledger.end(record.task_id in self._long_ids, now_s)
-        self._long_ids.discard(record.task_id)
+        self.ledger.end(record.assignment_id in self._long_ids, now_s)
+        self._long_ids.discard(record.assignment_id)
 
     def _note_outcome(
         self, assign: Assign, outcome: BackendOutcome, now_s: float
@@ -276,10 +274,10 @@
     ) -> None:
         if outcome.status is Status.NOT_STARTED:
             self.gate.withdraw(record, outcome.reason, now_s)
-            self._refuse(peer, record.task_id, outcome.reason)
+            self._refuse(peer, record.assignment_id, outcome.reason)
             return
         result = Result(
-            record.task_id,
+            record.assignment_id,
             outcome.status,
             outcome.value,
             outcome.reason,
@@ -311,8 +309,8 @@
                 continue
             self._start(peer, record, now_s)
 
-    def _revoke(self, peer: EntryPeer, task_id: str, now_s: float) -> None:
-        result = self.gate.revoke(task_id, now_s)
+    def _revoke(self, peer: EntryPeer, assignment_id: str, now_s: float) -> None:
+        result = self.gate.revoke(assignment_id, now_s)
         self.counters.add("revokes", result.status.name.lower())
         peer.outbox.put(result)
 
@@ -324,7 +322,7 @@
             if record.state is RecordState.HELD:
                 self.gate.drop(record, reason, now_s)
                 if peer is not None:
-                    self._refuse(peer, record.task_id, reason)
+                    self._refuse(peer, record.assignment_id, reason)
 
     def _peer_of(self, record: Record) -> EntryPeer | None:
         for peer in self._peers.values():
@@ -376,9 +374,9 @@
 
     def _note_overruns(self, now_s: float) -> None:
         long_after_s = self.configuration.long_after_s(self.service)
-        for task_id, record in self._running.items():
+        for assignment_id, record in self._running.items():
             ran_s = now_s - record.started_s
-            if ran_s > long_after_s and task_id not in self._long_ids:
-                self._long_ids.add(task_id)
+            if ran_s > long_after_s and assignment_id not in self._long_ids:
+                self._long_ids.add(assignment_id)
                 self.ledger.overrun(now_s)
                 self.counters.add("overruns")
--- /dev/null
+++ b/gooseberrylink/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Replays recorded traces and reports how well the jobs were served."""
--- /dev/null
+++ b/gooseberrylink/bench/demo.py
@@ -0,0 +1,136 @@
+"""Runs the whole path on loopback: HTTP callers to HTTP backend servers."""
+
+import dataclasses
+
+import httpcore
+import msgspec
+import trio
+
+from gooseberrylink.bench.replay import (
+    Replay,
+    Scenario,
+    read_declarations,
+)
+from gooseberrylink.bench.runs import ROOT, Run, judge_run, load_trace
+from gooseberrylink.bench.trace import Trace
+from gooseberrylink.codes import Code
+from gooseberrylink.config import AgentSettings, EntrySettings
+from gooseberrylink.daemon import AgentDaemon, EntryDaemon
+from gooseberrylink.http_server import serve_http
+from gooseberrylink.peers.grpc_link import GrpcThread
+from gooseberrylink.standins.backend import BackendApi, FakeBackend
+from gooseberrylink.standins.deployment import Deployment
+from gooseberrylink.standins.platform import PlatformApi
+from gooseberrylink.types import Answer
+
+_WORKERS = 5
+_ENTRIES = 2
+_JOBS = 300
+_LOAD = 0.5
+_ANY_PORT = "127.0.0.1:0"
+
+
+class DemoDeployment(Deployment):
+    """A deployment whose every connection goes over loopback."""
+
+    def __init__(self, nursery: trio.Nursery, service: str):
+        super().__init__(nursery, None, service)
+        self.entry_daemons: list[EntryDaemon] = []
+        self._thread = GrpcThread()
+        self._platform_address = ""
+
+    async def start(self, trace: Trace, text: str) -> None:
+        """Starts the platform, the entries, the agents and the backends."""
+        self._platform_address = await self._serve(PlatformApi(self.platform).app)
+        await self.configure(text)
+        for number in range(1, _ENTRIES + 1):
+            await self._start_entry(f"entry-{number}", trace)
+        for worker in trace.header.workers:
+            await self._start_agent(worker)
+        await self.wait_connected()
+
+    def stop(self) -> None:
+        """Ends the gRPC thread."""
+        self._thread.stop()
+
+    async def _serve(self, app) -> str:
+        return await self._nursery.start(serve_http, app, _ANY_PORT, trio.sleep_forever)
+
+    async def _start_entry(self, name: str, trace: Trace) -> None:
+        settings = EntrySettings(
+            entry=name,
+            data_centre=trace.header.workers[0].data_centre,
+            platform=self._platform_address,
+            ready_peers=1,
+        )
+        daemon = EntryDaemon(settings, self._thread)
+        await self._nursery.start(daemon.run)
+        self.entry_daemons.append(daemon)
+        self.entries.append(daemon.entry)
+
+    async def _start_agent(self, worker) -> None:
+        settings = AgentSettings(
+            worker=worker.name,
+            data_centre=worker.data_centre,
+            entries=[entry.address for entry in self.entries],
+        )
+        daemon = AgentDaemon(settings, self._thread)
+        await self._nursery.start(daemon.run)
+        backend = FakeBackend(worker.name, worker.speed)
+        self.backends.append(backend)
+        api = BackendApi(backend, self.service, worker.slots)
+        address = await self._serve(api.app)
+        self._nursery.start_soon(api.announce_forever, daemon.address, address)
+        self.agents[worker.name] = daemon.agent
+
+
+class DemoReplay(Replay):
+    """Replays a trace through the callers' HTTP interface."""
+
+    async def _start(self) -> None:
+        await self._deployment.start(self._trace, self._text)
+        self._pool = httpcore.AsyncConnectionPool(max_connections=200)
+
+    async def _ask(self, entry_number: int, request) -> Answer:
+        body = {
+            "customer": request.customer,
+            "service": request.service,
+            "deadline_s": request.deadline_s,
+            "tasks": [dataclasses.asdict(task) for task in request.tasks],
+        }
+        address = self._deployment.entry_daemons[entry_number].address
+        response = await self._pool.request(
+            "POST", f"http://{address}/v1/jobs", content=msgspec.json.encode(body)
+        )
+        answer = msgspec.json.decode(response.content)
+        return Answer(
+            Code(answer["code"]), answer.get("detail", ""), answer.get("results")
+        )
+
+
+def run_demo() -> Run:
+    """Runs the demo and returns its figures."""
+    trace = _small(load_trace("bennani"))
+    text = read_declarations(trace, ROOT / "examples")
+    scenario = Scenario("demo", _LOAD, entry_weights=(0.5, 0.5))
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            deployment = DemoDeployment(nursery, trace.header.service)
+            replay = DemoReplay(trace, scenario, "late-binding", text, seed=1)
+            try:
+                result = await replay.run_on(deployment)
+            finally:
+                deployment.stop()
+            nursery.cancel_scope.cancel()
+        return result
+
+    return judge_run(trace, trio.run(main))
+
+
+def _small(trace: Trace) -> Trace:
+    """Returns the part of a trace that the demo's few workers can carry."""
+    header = msgspec.structs.replace(
+        trace.header, workers=trace.header.workers[:_WORKERS]
+    )
+    return Trace(header, trace.jobs[:_JOBS])
--- /dev/null
+++ b/gooseberrylink/bench/replay.py
@@ -0,0 +1,270 @@
+"""Replays a trace through real entries and agents."""
+
+import collections
+import dataclasses
+import pathlib
+import random
+
+import trio
+
+from gooseberrylink.bench.trace import Trace, TraceJob
+from gooseberrylink.codes import Code, Truth
+from gooseberrylink.config import PolicyName
+from gooseberrylink.standins.backend import FakeBackend
+from gooseberrylink.standins.deployment import Deployment, Network
+from gooseberrylink.types import Answer, JobRequest, TaskSpec
+
+_WARM_UP_SHARE = 0.1
+_CREST_WINDOW_S = 0.5
+_CREST_RATIO = 1.3
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Scenario:
+    """How a trace is replayed.
+
+    Attributes:
+        load: Mean demand over the capacity of all workers.
+        entry_weights: Share of the jobs that each entry gets.
+        with_black_hole: Whether the trace's black hole fails every task.
+        with_poison: Whether the trace's poison jobs fail.
+    """
+
+    name: str
+    load: float
+    entry_weights: tuple[float, ...] = (0.34, 0.33, 0.33)
+    with_black_hole: bool = False
+    with_poison: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class JobRecord:
+    """What became of one job of the trace.
+
+    Attributes:
+        ideal_s: Its longest task on the fastest worker, without any wait.
+        work_s: Run time of its tasks on a worker of speed 1.
+        late_s: How late the generator submitted it.
+        is_wrong: Whether the answer was not the whole answer to this job.
+    """
+
+    job: TraceJob
+    label: str
+    submitted_s: float
+    took_s: float
+    ideal_s: float
+    work_s: float
+    late_s: float
+    answer: Answer
+    is_wrong: bool
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the caller got the whole answer."""
+        return self.answer.code is Code.OK
+
+
+@dataclasses.dataclass(slots=True)
+class ReplayResult:
+    """All that one replay gives.
+
+    Attributes:
+        broken_promises: What the backend servers' logs hold against the
+            answers; empty if every promise was kept.
+        wasted_messages: Frames that moved no task, and refused assignments.
+    """
+
+    scenario: Scenario
+    policy: str
+    records: list[JobRecord]
+    broken_promises: list[str]
+    tasks_started: int
+    frames: int
+    wasted_messages: int
+    retries: dict[str, int]
+    refusals: dict[str, int]
+    quarantines: int
+    black_hole_starts: int
+    length_s: float
+
+
+class Replay:
+    """One replay of a trace."""
+
+    def __init__(
+        self, trace: Trace, scenario: Scenario, policy: PolicyName, text: str, seed: int
+    ):
+        self._trace = trace
+        self._scenario = scenario
+        self._policy = policy
+        self._text = text
+        self._random = random.Random(seed)
+        self._records: list[JobRecord] = []
+        self._deployment: Deployment | None = None
+
+    async def run(self, nursery: trio.Nursery, network: Network) -> ReplayResult:
+        """Replays over a network, and judges."""
+        service = self._trace.header.service
+        return await self.run_on(Deployment(nursery, network, service))
+
+    async def run_on(self, deployment: Deployment) -> ReplayResult:
+        """Starts a deployment, replays on it, and judges."""
+        self._deployment = deployment
+        await self._start()
+        started_s = trio.current_time()
+        async with trio.open_nursery() as jobs:
+            for number, job in enumerate(self._trace.jobs):
+                due_s = started_s + self._due_s(job)
+                await trio.sleep_until(due_s)
+                jobs.start_soon(self._submit, number, job, due_s)
+        return self._result(trio.current_time() - started_s)
+
+    async def _start(self) -> None:
+        deployment, header = self._deployment, self._trace.header
+        await deployment.configure(self._text)
+        for number, _ in enumerate(self._scenario.entry_weights, start=1):
+            await deployment.add_entry(
+                f"entry-{number}",
+                policy=self._policy,
+                data_centre=header.workers[0].data_centre,
+            )
+        for worker in header.workers:
+            backend = FakeBackend(worker.name, worker.speed)
+            await deployment.add_agent(
+                worker.name, worker.slots, backend, data_centre=worker.data_centre
+            )
+        await deployment.wait_connected()
+        if self._scenario.with_black_hole:
+            deployment.start_soon(self._open_black_hole)
+
+    async def _open_black_hole(self) -> None:
+        await trio.sleep(self._trace.header.black_hole_from_s)
+        for backend in self._deployment.backends:
+            if backend.worker == self._trace.header.black_hole:
+                backend.is_failing = True
+
+    def _due_s(self, job: TraceJob) -> float:
+        return job.at_s * own_load(self._trace) / self._scenario.load
+
+    async def _submit(self, number: int, job: TraceJob, due_s: float) -> None:
+        weights = self._scenario.entry_weights
+        (entry_number,) = self._random.choices(range(len(weights)), weights)
+        label = f"job-{number}"
+        fails = job.is_poison and self._scenario.with_poison
+        request = make_request(job, label, fails, self._trace.header.service)
+        submitted_s = trio.current_time()
+        answer = await self._ask(entry_number, request)
+        expected = [f"{label}/{index}" for index in range(len(job.run_s))]
+        is_wrong = answer.code is Code.OK and answer.results != expected
+        self._records.append(
+            JobRecord(
+                job=job,
+                label=label,
+                submitted_s=submitted_s,
+                took_s=trio.current_time() - submitted_s,
+                ideal_s=max(job.run_s) / self._trace.top_speed(),
+                work_s=sum(job.run_s),
+                late_s=submitted_s - due_s,
+                answer=answer,
+                is_wrong=is_wrong,
+            )
+        )
+
+    async def _ask(self, entry_number: int, request: JobRequest) -> Answer:
+        return await self._deployment.entries[entry_number].submit(request)
+
+    def _result(self, length_s: float) -> ReplayResult:
+        deployment = self._deployment
+        entries = [entry.counters for entry in deployment.entries]
+        agents = [agent.counters for agent in deployment.agents.values()]
+        refused = sum(sum(c.by_reason("assigns_refused").values()) for c in agents)
+        control = sum(c.get("frames_sent", "control") for c in entries + agents)
+        hole = self._trace.header.black_hole
+        return ReplayResult(
+            scenario=self._scenario,
+            policy=self._policy,
+            records=self._records,
+            broken_promises=self._judge(),
+            tasks_started=sum(len(b.starts) for b in deployment.backends),
+            frames=control
+            + sum(c.get("frames_sent", "data") for c in entries + agents),
+            wasted_messages=control + refused,
+            retries=_sum_by_reason(entries, "retries"),
+            refusals=_sum_by_reason(entries, "refusals"),
+            quarantines=sum(c.get("quarantines") for c in agents),
+            black_hole_starts=sum(
+                len([s for s in b.starts if b.is_failing])
+                for b in deployment.backends
+                if b.worker == hole
+            ),
+            length_s=length_s,
+        )
+
+    def _judge(self) -> list[str]:
+        """Compares the answers with the backend servers' own logs."""
+        starts = self._deployment.starts()
+        broken = [f"{task} started {n} times" for task, n in starts.items() if n > 1]
+        labels = {
+            label.partition("/")[0] for label in self._deployment.started_labels()
+        }
+        for record in self._records:
+            if record.is_wrong:
+                broken.append(f"{record.label} got a wrong answer")
+            if record.answer.truth is Truth.NOT_RUN and record.label in labels:
+                broken.append(f"{record.label} was said not to have run, but ran")
+        return broken
+
+
+def make_request(job: TraceJob, label: str, fails: bool, service: str) -> JobRequest:
+    """Returns the request for a job of a trace; its tasks carry their labels."""
+    tasks = []
+    for index, (run_s, declared_s) in enumerate(
+        zip(job.run_s, job.declared_s, strict=True)
+    ):
+        name = f"{label}/{index}"
+        payload = {"run_s": run_s, "value": name, "label": name, "fail": fails}
+        tasks.append(TaskSpec(payload, declared_s))
+    return JobRequest(job.customer, service, tasks, job.deadline_s)
+
+
+def own_load(trace: Trace) -> float:
+    """Returns the load of a trace as recorded."""
+    capacity = sum(worker.speed * worker.slots for worker in trace.header.workers)
+    work_s = sum(sum(job.run_s) for job in trace.jobs)
+    return work_s / trace.length_s / capacity
+
+
+def crest_jobs(result: ReplayResult) -> list[JobRecord]:
+    """Returns the jobs that were submitted while demand was at its crest."""
+    by_window: dict[int, list[JobRecord]] = collections.defaultdict(list)
+    for record in result.records:
+        by_window[int(record.submitted_s / _CREST_WINDOW_S)].append(record)
+    work_s = {
+        window: sum(record.work_s for record in records)
+        for window, records in by_window.items()
+    }
+    mean_s = sum(work_s.values()) / max(1, len(work_s))
+    return [
+        record
+        for window, records in by_window.items()
+        if work_s[window] >= _CREST_RATIO * mean_s
+        for record in records
+    ]
+
+
+def settled_jobs(result: ReplayResult) -> list[JobRecord]:
+    """Returns the jobs after the warm-up, in which run times are learned."""
+    records = sorted(result.records, key=lambda record: record.submitted_s)
+    return records[int(len(records) * _WARM_UP_SHARE) :]
+
+
+def read_declarations(trace: Trace, examples: pathlib.Path) -> str:
+    """Returns the declarations that a trace was recorded under."""
+    return (examples / trace.header.declarations).read_text(encoding="utf-8")
+
+
+def _sum_by_reason(counters, metric: str) -> dict[str, int]:
+    total: collections.Counter[str] = collections.Counter()
+    for counter in counters:
+        total.update(counter.by_reason(metric))
+    return dict(sorted(total.items()))
--- /dev/null
+++ b/gooseberrylink/bench/report.py
@@ -0,0 +1,114 @@
+"""Turns replays into figures, tables and JSON."""
+
+import collections
+from typing import Any
+
+from gooseberrylink.bench.replay import (
+    JobRecord,
+    ReplayResult,
+    crest_jobs,
+    settled_jobs,
+)
+from gooseberrylink.latency import ValueHistogram
+from gooseberrylink.operators.declarations import Declarations
+
+Figures = dict[str, float]
+
+
+def figures(
+    result: ReplayResult, long_after_s: float, declarations: Declarations
+) -> Figures:
+    """Returns the figures of one replay.
+
+    Ratios are answer time over ideal: the longest task of the job on the
+    fastest worker, without any wait.
+    """
+    records = settled_jobs(result)
+    short = [r for r in records if max(r.job.run_s) < long_after_s]
+    long = [r for r in records if max(r.job.run_s) >= long_after_s]
+    values: Figures = {"jobs": len(result.records)}
+    values["whole"] = _share(result.records, lambda r: r.is_whole)
+    for name, group in (("all", records), ("short", short), ("long", long)):
+        values |= _ratios(name, group)
+    values["long_wait_max_s"] = max(
+        (r.took_s - r.ideal_s for r in long if r.is_whole), default=0.0
+    )
+    values["wasted_per_task"] = result.wasted_messages / max(1, result.tasks_started)
+    values["frames_per_task"] = result.frames / max(1, result.tasks_started)
+    values["goodput_s_per_s"] = _goodput(result)
+    crest = crest_jobs(result)
+    first = {c.name for c in declarations.rules.customers if c.precedence > 0}
+    values["crest_whole"] = _share(crest, lambda r: r.is_whole)
+    values["crest_first_whole"] = _share(
+        [r for r in crest if r.job.customer in first], lambda r: r.is_whole
+    )
+    values["worst_customer_whole"] = min(_whole_by_customer(result).values())
+    values["broken_promises"] = len(result.broken_promises)
+    values["quarantines"] = result.quarantines
+    values["black_hole_starts"] = result.black_hole_starts
+    late = sorted(r.late_s for r in result.records)
+    values["generator_late_p99_ms"] = 1000 * late[int(len(late) * 0.99)]
+    return values
+
+
+def median(runs: list[Figures]) -> Figures:
+    """Returns the median of each figure over repeated runs."""
+    return {name: sorted(run[name] for run in runs)[len(runs) // 2] for name in runs[0]}
+
+
+def table(columns: dict[str, Figures], names: list[str] | None = None) -> list[str]:
+    """Returns a text table: a line for each figure, a column for each policy."""
+    first = next(iter(columns.values()))
+    lines = [f"{'':24}" + "".join(f"{name:>18}" for name in columns)]
+    for name in names or list(first):
+        cells = "".join(f"{values[name]:>18.3f}" for values in columns.values())
+        lines.append(f"{name:24}{cells}")
+    return lines
+
+
+def outcomes(result: ReplayResult) -> dict[str, Any]:
+    """Returns counts by outcome and reason, for people."""
+    codes = collections.Counter(r.answer.code.name for r in result.records)
+    return {
+        "answers": dict(codes),
+        "refusals": result.refusals,
+        "retries": result.retries,
+        "broken_promises": result.broken_promises[:10],
+    }
+
+
+def _ratios(name: str, records: list[JobRecord]) -> Figures:
+    histogram = ValueHistogram()
+    for record in records:
+        if record.is_whole:
+            histogram.record(record.took_s / record.ideal_s)
+    return {
+        f"{name}_p50": histogram.percentile(50.0),
+        f"{name}_p99": histogram.percentile(99.0),
+        f"{name}_p999": histogram.percentile(99.9),
+    }
+
+
+def _share(records: list[JobRecord], condition) -> float:
+    if not records:
+        return 1.0
+    return sum(map(condition, records)) / len(records)
+
+
+def _goodput(result: ReplayResult) -> float:
+    """Work that reached callers in time, in seconds a second.
+
+    Counted over the time in which jobs were submitted and answered.
+    """
+    done_s = sum(r.work_s for r in result.records if r.is_whole)
+    return done_s / result.length_s
+
+
+def _whole_by_customer(result: ReplayResult) -> dict[str, float]:
+    groups: dict[str, list[JobRecord]] = collections.defaultdict(list)
+    for record in result.records:
+        groups[record.job.customer].append(record)
+    return {
+        customer: _share(records, lambda r: r.is_whole)
+        for customer, records in groups.items()
+    }
--- /dev/null
+++ b/gooseberrylink/bench/runs.py
@@ -0,0 +1,116 @@
+"""Runs replays on loopback or on a simulated clock."""
+
+import contextlib
+import dataclasses
+import pathlib
+import random
+
+import trio
+import trio.testing
+
+from gooseberrylink.bench.replay import (
+    Replay,
+    ReplayResult,
+    Scenario,
+    read_declarations,
+)
+from gooseberrylink.bench.report import Figures, figures
+from gooseberrylink.bench.trace import Trace, read_trace
+from gooseberrylink.config import PolicyName
+from gooseberrylink.operators.declarations import Declarations
+from gooseberrylink.peers.grpc_link import GrpcThread
+from gooseberrylink.standins.deployment import GrpcNetwork
+from gooseberrylink.standins.network import MemoryNetwork
+from gooseberrylink.yaml_file import parse_model
+
+ROOT = pathlib.Path(__file__).parent.parent.parent
+
+SCENARIOS = {
+    scenario.name: scenario
+    for scenario in (
+        Scenario("half-load", 0.5),
+        Scenario("busy", 0.85),
+        Scenario("overload", 1.5),
+        Scenario("uneven-entries", 0.85, entry_weights=(0.8, 0.15, 0.05)),
+        Scenario("one-entry", 0.85, entry_weights=(1.0,)),
+        Scenario("black-hole", 0.85, with_black_hole=True),
+        Scenario("poison", 0.85, with_poison=True),
+    )
+}
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """One replay and its figures."""
+
+    result: ReplayResult
+    figures: Figures
+
+
+def load_trace(name: str) -> Trace:
+    """Returns a trace of the repository by its name."""
+    return read_trace(ROOT / "traces" / f"{name}.jsonl")
+
+
+def run_on_loopback(
+    trace: Trace, scenario: Scenario, policy: PolicyName, seed: int = 1
+) -> Run:
+    """Replays over gRPC on loopback, in real time."""
+
+    async def main() -> ReplayResult:
+        thread = GrpcThread()
+        try:
+            async with trio.open_nursery() as nursery:
+                network = GrpcNetwork(nursery, thread)
+                result = await _replay(trace, scenario, policy, seed, nursery, network)
+                nursery.cancel_scope.cancel()
+        finally:
+            thread.stop()
+        return result
+
+    return judge_run(trace, trio.run(main))
+
+
+def run_simulated(
+    trace: Trace, scenario: Scenario, policy: PolicyName, seed: int = 1
+) -> Run:
+    """Replays over links in memory on a clock that jumps; always the same."""
+
+    async def main() -> ReplayResult:
+        async with trio.open_nursery() as nursery:
+            network = MemoryNetwork(nursery)
+            result = await _replay(trace, scenario, policy, seed, nursery, network)
+            nursery.cancel_scope.cancel()
+        return result
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    with seeded_scheduler(seed):
+        return judge_run(trace, trio.run(main, clock=clock))
+
+
+@contextlib.contextmanager
+def seeded_scheduler(seed: int):
+    """Makes trio run its tasks in an order that depends on the seed only."""
+    trio_run = trio._core._run
+    previous = trio_run._r, trio_run._ALLOW_DETERMINISTIC_SCHEDULING
+    trio_run._r = random.Random(seed)
+    trio_run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    try:
+        yield
+    finally:
+        trio_run._r, trio_run._ALLOW_DETERMINISTIC_SCHEDULING = previous
+
+
+async def _replay(
+    trace: Trace, scenario: Scenario, policy: PolicyName, seed: int, nursery, network
+) -> ReplayResult:
+    text = read_declarations(trace, ROOT / "examples")
+    return await Replay(trace, scenario, policy, text, seed).run(nursery, network)
+
+
+def judge_run(trace: Trace, result: ReplayResult) -> Run:
+    """Returns a replay with its figures."""
+    text = read_declarations(trace, ROOT / "examples")
+    declarations = parse_model(text, trace.header.declarations, Declarations)
+    long_after_s = trace.header.long_after_s
+    return Run(result, figures(result, long_after_s, declarations))
--- /dev/null
+++ b/gooseberrylink/bench/trace.py
@@ -0,0 +1,92 @@
+"""Reads recorded traces; docs/BENCH.md describes the line format."""
+
+import pathlib
+
+import msgspec
+
+
+class TraceWorker(msgspec.Struct):
+    """A worker of the recorded deployment.
+
+    Attributes:
+        speed: Relative speed; run times are divided by it.
+    """
+
+    name: str
+    data_centre: str
+    speed: float
+    slots: int
+
+
+class TraceHeader(msgspec.Struct):
+    """First line of a trace.
+
+    Attributes:
+        declarations: File name in examples/ of the declarations in force.
+        long_after_s: Run time from which a task counts as long.
+        black_hole: Worker that may be made to fail every task.
+        black_hole_from_s: When it starts to, on the trace's clock.
+    """
+
+    name: str
+    service: str
+    declarations: str
+    long_after_s: float
+    workers: list[TraceWorker]
+    black_hole: str
+    black_hole_from_s: float
+
+
+class TraceJob(msgspec.Struct):
+    """One job; times are seconds.
+
+    Attributes:
+        at_s: Submission, on the trace's clock, at a load of 1.
+        run_s: True run time of each task on a worker of speed 1.
+        declared_s: What the client declared for each task.
+        is_poison: Whether each of its tasks fails everywhere.
+    """
+
+    at_s: float
+    customer: str
+    deadline_s: float
+    run_s: list[float]
+    declared_s: list[float]
+    is_poison: bool = False
+
+
+class Trace(msgspec.Struct):
+    """A recorded trace."""
+
+    header: TraceHeader
+    jobs: list[TraceJob]
+
+    @property
+    def length_s(self) -> float:
+        """Time of the last submission."""
+        return self.jobs[-1].at_s
+
+    def top_speed(self) -> float:
+        """Returns the speed of the fastest worker."""
+        return max(worker.speed for worker in self.header.workers)
+
+    def cut(self, seconds: float) -> "Trace":
+        """Returns the first part of the trace."""
+        return Trace(self.header, [job for job in self.jobs if job.at_s <= seconds])
+
+
+def read_trace(path: pathlib.Path) -> Trace:
+    """Reads a trace: a header line, then one line for each job."""
+    header, *lines = path.read_bytes().splitlines()
+    decoder = msgspec.json.Decoder(TraceJob)
+    return Trace(
+        msgspec.json.decode(header, type=TraceHeader),
+        [decoder.decode(line) for line in lines],
+    )
+
+
+def write_trace(path: pathlib.Path, trace: Trace) -> None:
+    """Writes a trace."""
+    lines = [msgspec.json.encode(trace.header)]
+    lines += [msgspec.json.encode(job) for job in trace.jobs]
+    path.write_bytes(b"\n".join(lines) + b"\n")
--- /dev/null
+++ b/gooseberrylink/commands/bench.py
@@ -0,0 +1,120 @@
+"""Runs the bench and the demo from the command line."""
+
+import json
+import time
+
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from gooseberrylink.bench.demo import run_demo
+from gooseberrylink.bench.report import Figures, median, outcomes, table
+from gooseberrylink.bench.runs import (
+    SCENARIOS,
+    load_trace,
+    run_on_loopback,
+    run_simulated,
+)
+from gooseberrylink.commands.exit_codes import Exit
+from gooseberrylink.logs import configure_logs
+
+_POLICIES = ("random", "least-in-flight", "late-binding")
+
+
+class BenchCommand(Command):
+    """Compares routing policies on a recorded trace."""
+
+    name = "bench"
+    description = "Replays a recorded trace under each policy and compares them."
+    help = (
+        "Real entries and agents on loopback, fake backend servers. The policies "
+        "take turns within each round; figures are medians over the rounds. "
+        "Ratios are answer time over ideal: the longest task on the fastest worker."
+    )
+    options = [
+        option("trace", None, "bennani or chao-phraya", flag=False, default="bennani"),
+        option(
+            "scenario",
+            None,
+            f"One of {', '.join(SCENARIOS)}; may be repeated",
+            flag=False,
+            multiple=True,
+        ),
+        option("policy", None, "May be repeated", flag=False, multiple=True),
+        option("rounds", None, "Rounds", flag=False, default="2"),
+        option("seconds", None, "Part of the trace", flag=False, default="15"),
+        option("simulated", None, "On a clock that jumps, links in memory"),
+        option("json", None, "Print JSON"),
+    ]
+
+    def handle(self) -> int:
+        """Runs all rounds and prints the tables."""
+        configure_logs("ERROR")
+        names = self.option("scenario") or ["half-load", "busy", "overload"]
+        report, is_good = {}, True
+        for name in names:
+            columns = self._compare(name)
+            report[name] = columns
+            is_good &= not any(f["broken_promises"] for f in columns.values())
+            if not self.option("json"):
+                self._print(name, columns)
+        if self.option("json"):
+            self.line(json.dumps(report, indent=2))
+        return Exit.OK if is_good else Exit.BENCH_FAILED
+
+    def _compare(self, scenario_name: str) -> dict[str, Figures]:
+        trace = load_trace(self.option("trace")).cut(float(self.option("seconds")))
+        run = run_simulated if self.option("simulated") else run_on_loopback
+        policies = self.option("policy") or list(_POLICIES)
+        runs: dict[str, list[Figures]] = {policy: [] for policy in policies}
+        for number in range(int(self.option("rounds"))):
+            for policy in policies:
+                started_s, cpu_s = time.perf_counter(), time.process_time()
+                done = run(trace, SCENARIOS[scenario_name], policy, number + 1)
+                values = done.figures
+                elapsed_s = time.perf_counter() - started_s
+                values["cpu_share"] = (time.process_time() - cpu_s) / elapsed_s
+                runs[policy].append(values)
+        return {policy: median(values) for policy, values in runs.items()}
+
+    def _print(self, name: str, columns: dict[str, Figures]) -> None:
+        scenario = SCENARIOS[name]
+        rounds = self.option("rounds")
+        self.line(f"<info>{name}</info>: load {scenario.load}, {rounds} rounds")
+        for line in table(columns):
+            self.line(line)
+        self.line("")
+
+
+class DemoCommand(Command):
+    """Runs a whole deployment on loopback for half a minute."""
+
+    name = "demo"
+    description = "Runs two entries, five workers and their backends on loopback."
+    help = (
+        "Everything real: HTTP from callers, gRPC to agents, HTTP to backend "
+        "servers. Ends by itself; exits 30 if any job got a wrong answer."
+    )
+
+    def handle(self) -> int:
+        """Runs the demo and prints its report."""
+        configure_logs("WARNING")
+        self.line("starting a platform stand-in, 2 entries, 5 agents, 5 backends ...")
+        run = run_demo()
+        for line in table({"demo": run.figures}, _DEMO_FIGURES):
+            self.line(line)
+        for name, value in outcomes(run.result).items():
+            self.line(f"{name}: {json.dumps(value)}")
+        is_good = not run.result.broken_promises
+        self.line("every promise was kept" if is_good else "<error>BROKEN</error>")
+        return Exit.OK if is_good else Exit.BENCH_FAILED
+
+
+_DEMO_FIGURES = [
+    "jobs",
+    "whole",
+    "all_p50",
+    "all_p99",
+    "short_p99",
+    "frames_per_task",
+    "wasted_per_task",
+]
--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -144,7 +144,7 @@
                 lane.queue.drop(task)
                 self._counters.add("tasks_dropped", "job_ended")
             elif task.state is TaskState.ASSIGNED:
-                by_worker.setdefault(task.worker, []).append(task.task_id)
+                by_worker.setdefault(task.worker, []).append(task.assignment_id)
         for peer in lane.peers:
             if peer.worker in by_worker:
                 peer.revoke(by_worker[peer.worker])
@@ -172,12 +172,12 @@
 
     def receive_result(self, peer: AgentPeer, result: Result) -> None:
         """Handles what an agent knows of a task."""
-        task = peer.flights.get(result.task_id)
+        task = peer.flights.get(result.assignment_id)
         if task is None:
             # A late or repeated answer; the task was settled before.
             self._counters.add("results_ignored", result.status.name.lower())
             if result.status is not Status.RUNNING:
-                peer.acknowledge(result.task_id)
+                peer.acknowledge(result.assignment_id)
             return
         if result.status is Status.RUNNING:
             if task.job.job_id not in self.jobs:
@@ -185,7 +185,7 @@
                 self._notify(task.job)
             return
         self._end_flight(peer, task)
-        peer.acknowledge(result.task_id)
+        peer.acknowledge(result.assignment_id)
         if result.status is Status.NOT_STARTED:
             self.not_started(task, result.reason)
         else:
@@ -198,10 +198,10 @@
             self._notify(task.job)
             return
         self._counters.add("retries", reason)
-        task.state = TaskState.QUEUED
         if self._budget.spend():
             self._requeue(task)
         else:
+            task.state = TaskState.PAUSED
             self._counters.add("retries_delayed", reason)
             self._nursery.start_soon(self._requeue_later, task)
 
@@ -215,7 +215,7 @@
             self._fail(task.job, Answer(Code.AGENT_LOST, detail))
 
     def _end_flight(self, peer: AgentPeer, task: Task) -> None:
-        del peer.flights[task.task_id]
+        del peer.flights[task.assignment_id]
         self.lane(task.job.request.service).in_flight -= 1
 
     def _ran(self, peer: AgentPeer, task: Task, result: Result) -> None:
@@ -313,6 +313,7 @@
 
     def _requeue(self, task: Task) -> None:
         lane = self.lane(task.job.request.service)
+        task.state = TaskState.QUEUED
         lane.queue.push(task)
         self.pump(lane.service)
 
--- a/gooseberrylink/gate.py
+++ b/gooseberrylink/gate.py
@@ -22,7 +22,7 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Record:
-    """What the gate knows of one task id.
+    """What the gate knows of one assignment.
 
     Attributes:
         expires_s: Agent's clock after which the task may not start.
@@ -30,7 +30,7 @@
         result: What is reported to the entry once it is known.
     """
 
-    task_id: str
+    assignment_id: str
     state: RecordState
     assign: Assign | None = None
     entry: str = ""
@@ -88,26 +88,26 @@
 
         Returns:
             A new record in state HELD, or the reason for not taking it. In
-            the second case the task id has a tombstone.
+            the second case the assignment has a tombstone.
         """
-        known = self._records.get(assign.task_id)
+        known = self._records.get(assign.assignment_id)
         if known is not None:
             return "revoked" if known.state is RecordState.REVOKED else "duplicate"
         expires_s = basis_s + assign.remaining_s
         if len(self._records) >= self._max_records:
-            self._bury(assign.task_id, now_s)
+            self._bury(assign.assignment_id, now_s)
             return "records_full"
         if now_s > basis_s + self.lease_s:
-            self._bury(assign.task_id, now_s)
+            self._bury(assign.assignment_id, now_s)
             return "lease_lapsed"
         if now_s >= expires_s:
-            self._bury(assign.task_id, now_s)
+            self._bury(assign.assignment_id, now_s)
             return "expired"
         record = Record(
-            assign.task_id, RecordState.HELD, assign, entry, expires_s=expires_s
+            assign.assignment_id, RecordState.HELD, assign, entry, expires_s=expires_s
         )
         record.forget_s = now_s + self.retention_s
-        self._records[assign.task_id] = record
+        self._records[assign.assignment_id] = record
         return record
 
     def start(self, record: Record, now_s: float) -> bool:
@@ -145,28 +145,28 @@
         record.state = RecordState.REVOKED
         record.assign = None
         record.forget_s = now_s + self._tombstone_s
-        record.result = Result(record.task_id, Status.NOT_STARTED, reason=reason)
+        record.result = Result(record.assignment_id, Status.NOT_STARTED, reason=reason)
 
-    def revoke(self, task_id: str, now_s: float) -> Result:
+    def revoke(self, assignment_id: str, now_s: float) -> Result:
         """Makes sure that a task never starts, or tells what became of it."""
-        record = self._records.get(task_id)
+        record = self._records.get(assignment_id)
         if record is None:
-            self._bury(task_id, now_s)
-            return Result(task_id, Status.NOT_STARTED, reason="revoked")
+            self._bury(assignment_id, now_s)
+            return Result(assignment_id, Status.NOT_STARTED, reason="revoked")
         if record.state is RecordState.HELD:
             self.drop(record, "revoked", now_s)
         if record.result is not None:
             return record.result
-        return Result(task_id, Status.RUNNING)
+        return Result(assignment_id, Status.RUNNING)
 
-    def acknowledge(self, task_ids: list[str], now_s: float) -> None:
+    def acknowledge(self, assignment_ids: list[str], now_s: float) -> None:
         """Drops results that arrived at the entry; tombstones stay a while."""
-        for task_id in task_ids:
-            record = self._records.get(task_id)
+        for assignment_id in assignment_ids:
+            record = self._records.get(assignment_id)
             if record is None or record.result is None:
                 continue
             record.result = Result(
-                task_id, record.result.status, reason="already_acknowledged"
+                assignment_id, record.result.status, reason="already_acknowledged"
             )
             record.forget_s = min(record.forget_s, now_s + self._tombstone_s)
 
@@ -183,18 +183,18 @@
         """Drops records whose time is over; call it now and then."""
         ended = (RecordState.FINISHED, RecordState.REVOKED)
         old = [
-            task_id
-            for task_id, record in self._records.items()
+            assignment_id
+            for assignment_id, record in self._records.items()
             if record.state in ended and record.forget_s < now_s
         ]
-        for task_id in old:
-            del self._records[task_id]
+        for assignment_id in old:
+            del self._records[assignment_id]
         lapsed = [e for e, end in self._lease_ends_s.items() if end < now_s - 60.0]
         for entry in lapsed:
             del self._lease_ends_s[entry]
 
-    def _bury(self, task_id: str, now_s: float) -> None:
-        record = Record(task_id, RecordState.REVOKED)
+    def _bury(self, assignment_id: str, now_s: float) -> None:
+        record = Record(assignment_id, RecordState.REVOKED)
         record.forget_s = now_s + self._tombstone_s
-        record.result = Result(task_id, Status.NOT_STARTED, reason="revoked")
-        self._records[task_id] = record
+        record.result = Result(assignment_id, Status.NOT_STARTED, reason="revoked")
+        self._records[assignment_id] = record
--- a/gooseberrylink/lane.py
+++ b/gooseberrylink/lane.py
@@ -76,14 +76,16 @@
             return 0.0
         return sum(peer.is_quarantined for peer in connected) / len(connected)
 
-    def demand_at(self, peer: AgentPeer) -> int:
-        """Returns the demand to state in the next frame to an agent.
+    def demand_at(self, peer: AgentPeer) -> tuple[int, int]:
+        """Returns the demand for short and long tasks to state to an agent.
 
         The demand stated to all agents together is no more than the queue, or
         slots would be reserved here that others need.
         """
         told_elsewhere = sum(p.demand_told for p in self.peers if p is not peer)
-        return max(0, min(_MAX_DEMAND_AT_ONE, len(self.queue) - told_elsewhere))
+        untold = max(0, min(_MAX_DEMAND_AT_ONE, len(self.queue) - told_elsewhere))
+        short = min(untold, self.queue.short_count)
+        return short, untold - short
 
     def peers_to_ask(self) -> list[AgentPeer]:
         """Returns agents that must hear of the queue in a frame of its own.
--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -34,7 +34,7 @@
     """One agent, as the entry knows it, across links and incarnations.
 
     Attributes:
-        flights: Tasks whose fate at this agent is not settled, by id.
+        flights: Tasks whose fate at this agent is not settled, by assignment.
         granted: Whether the last frame reserved a slot for this entry.
         demand_told: Slots that the agent was told this entry wants there.
         config_version: Version in force at the agent, as last heard.
@@ -53,6 +53,7 @@
         self.granted = False
         self.demand_told = 0
         self.heard_s = float("-inf")
+        self._is_grant_returned = False
         self._link: Link | None = None
         self._clock_s = 0.0
         self._free = 0
@@ -89,10 +90,11 @@
 
     def assign(self, task: Task, is_holdable: bool, demand_ratio: float) -> None:
         """Puts a task on its way; its fate is settled by a result."""
-        self.flights[task.task_id] = task
+        self.flights[task.assignment_id] = task
         self._assigns_sent += 1
         self.granted = False
         item = Assign(
+            assignment_id=task.assignment_id,
             task_id=task.task_id,
             job_id=task.job.job_id,
             customer=task.job.request.customer,
@@ -104,14 +106,14 @@
         )
         self.outbox.put(item)
 
-    def revoke(self, task_ids: list[str]) -> None:
+    def revoke(self, assignment_ids: list[str]) -> None:
         """Asks that tasks in flight do not start."""
         if self._link is not None:
-            self.outbox.put(Revoke(task_ids))
+            self.outbox.put(Revoke(assignment_ids))
 
-    def acknowledge(self, task_id: str) -> None:
+    def acknowledge(self, assignment_id: str) -> None:
         """Lets the agent forget a result, with the next frame."""
-        self._acks.append(task_id)
+        self._acks.append(assignment_id)
         if len(self._acks) >= _MAX_ACKS_WAITING:
             self.outbox.poke()
 
@@ -170,7 +172,7 @@
         """Returns assignments to the queue that never reached the transport."""
         for item in unsent:
             if isinstance(item, Assign):
-                task = self.flights.pop(item.task_id, None)
+                task = self.flights.pop(item.assignment_id, None)
                 if task is not None:
                     self._entry.dispatcher.not_started(task, "unsent")
 
@@ -213,9 +215,9 @@
                     self._entry.configuration_heard(self)
         self._entry.dispatcher.pump(self.service)
         if self.granted:
-            # The queue has emptied meanwhile. The header of the next frame
-            # says so, and frees the slot for others.
+            # What the slot was wanted for has found another meanwhile.
             self.granted = False
+            self._is_grant_returned = True
             self._entry.counters.add("grants_unused")
             self.outbox.poke()
         self._push_config()
@@ -245,10 +247,14 @@
             items.append(Ack(self._acks))
             self._acks = []
         lane = self._entry.dispatcher.lane(self.service)
-        self.demand_told = lane.demand_at(self)
+        demand, demand_long = lane.demand_at(self)
+        self.demand_told = demand + demand_long
+        is_grant_returned, self._is_grant_returned = self._is_grant_returned, False
         return EntryFrame(
             basis_s=self._clock_s + trio.current_time() - self.heard_s,
-            demand=self.demand_told,
+            demand=demand,
+            demand_long=demand_long,
+            is_grant_returned=is_grant_returned,
             backlog=len(lane.queue),
             in_flight=lane.in_flight,
             quarantined_share=lane.quarantined_share(),
--- a/gooseberrylink/peers/messages.py
+++ b/gooseberrylink/peers/messages.py
@@ -55,12 +55,15 @@
     """Asks the agent to start a task.
 
     Attributes:
+        assignment_id: Names this attempt to place the task. A task that an
+            agent refused may come back to it under another id.
         remaining_s: Time left until the task may no longer be started.
         is_holdable: Whether the agent may queue it when no slot is free.
         demand_ratio: Tasks that the customer asked of the entry lately, for
             each task that its quota admitted.
     """
 
+    assignment_id: str
     task_id: str
     job_id: str
     customer: str
@@ -72,19 +75,19 @@
 
 
 class Revoke(msgspec.Struct, tag="r", array_like=True):
-    """Asks that these tasks never start; each gets a Result in answer."""
+    """Asks that these never start; each gets a Result in answer."""
 
-    task_ids: list[str]
+    assignment_ids: list[str]
 
 
 class Ack(msgspec.Struct, tag="k", array_like=True):
     """Says that these results arrived and need not be kept."""
 
-    task_ids: list[str]
+    assignment_ids: list[str]
 
 
 class Result(msgspec.Struct, tag="s", array_like=True):
-    """What the agent knows of a task.
+    """What the agent knows of an assigned task.
 
     Attributes:
         reason: Short snake_case reason for refusals and failures.
@@ -93,7 +96,7 @@
             entries, for each unit of this entry's; 0 if unknown.
     """
 
-    task_id: str
+    assignment_id: str
     status: Status
     value: Any = None
     reason: str = ""
@@ -114,7 +117,9 @@
     Attributes:
         basis_s: The entry's estimate of the agent's clock at sending; never
             later than the true value. Grounds the lease of held tasks.
-        demand: How many more slots the entry would use at this agent.
+        demand: How many more slots the entry would use here for short tasks.
+        demand_long: How many more it would use here for long tasks.
+        is_grant_returned: Whether the entry has no use for its reserved slot.
         backlog: Tasks queued at the entry for the agent's service.
         in_flight: Tasks of the entry that are at agents of the service.
         quarantined_share: Share of the service's agents in quarantine.
@@ -122,6 +127,8 @@
 
     basis_s: float
     demand: int = 0
+    demand_long: int = 0
+    is_grant_returned: bool = False
     backlog: int = 0
     in_flight: int = 0
     quarantined_share: float = 0.0
--- a/gooseberrylink/runtimes.py
+++ b/gooseberrylink/runtimes.py
@@ -9,6 +9,9 @@
 _UNKNOWN_TASK_S = 0.3
 _MIN_RUN_S = 0.001
 _SPEED_RANGE = (0.2, 5.0)
+_FIT_MEMORY = 0.995
+_FIT_MIN_WEIGHT = 10.0
+_FIT_MIN_VARIANCE = 0.01
 
 
 @dataclasses.dataclass(slots=True)
@@ -28,6 +31,41 @@
     count: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class _DeclarationFit:
+    """How far a customer's declared times tell the true ones.
+
+    A line through the logarithms of declared and true run times, fitted to
+    recent tasks. The less declarations mean, the flatter it is.
+    """
+
+    weight: float = 0.0
+    sum_x: float = 0.0
+    sum_y: float = 0.0
+    sum_xx: float = 0.0
+    sum_xy: float = 0.0
+
+    def learn(self, declared_s: float, run_s: float) -> None:
+        """Adds a task."""
+        x, y = math.log(declared_s), math.log(run_s)
+        self.weight = self.weight * _FIT_MEMORY + 1.0
+        self.sum_x = self.sum_x * _FIT_MEMORY + x
+        self.sum_y = self.sum_y * _FIT_MEMORY + y
+        self.sum_xx = self.sum_xx * _FIT_MEMORY + x * x
+        self.sum_xy = self.sum_xy * _FIT_MEMORY + x * y
+
+    def predict_s(self, declared_s: float) -> float:
+        """Returns the run time to expect for a declared one."""
+        x = math.log(declared_s)
+        if self.weight < _FIT_MIN_WEIGHT:
+            return math.exp((x + math.log(_UNKNOWN_TASK_S)) / 2)
+        mean_x, mean_y = self.sum_x / self.weight, self.sum_y / self.weight
+        variance = self.sum_xx / self.weight - mean_x * mean_x
+        covariance = self.sum_xy / self.weight - mean_x * mean_y
+        slope = covariance / variance if variance > _FIT_MIN_VARIANCE else 0.0
+        return math.exp(mean_y + min(1.0, max(0.0, slope)) * (x - mean_x))
+
+
 class RuntimeModel:
     """Run times by class of task, and relative speeds by worker.
 
@@ -38,12 +76,13 @@
 
     def __init__(self):
         self._classes: dict[tuple[str, str, int], _ClassEstimate] = {}
+        self._fits: dict[tuple[str, str], _DeclarationFit] = {}
         self._speeds: dict[str, float] = {}
 
     def expected_s(self, customer: str, service: str, declared_s: float) -> float:
         """Returns the expected run time on a worker of relative speed 1."""
         known = self._classes.get(_key(customer, service, declared_s))
-        prior_s = declared_s if declared_s > 0 else _UNKNOWN_TASK_S
+        prior_s = self._prior_s(customer, service, declared_s)
         if known is None:
             return prior_s
         weight = known.count / (known.count + _PRIOR_WEIGHT)
@@ -55,7 +94,7 @@
         """Says whether a task of this class is to be treated as long."""
         known = self._classes.get(_key(customer, service, declared_s))
         if known is None or known.count < _PRIOR_WEIGHT:
-            return declared_s >= long_after_s
+            return self._prior_s(customer, service, declared_s) >= long_after_s
         return known.long_share > 0.5
 
     def speed(self, worker: str) -> float:
@@ -79,6 +118,9 @@
         run_s = max(run_s, _MIN_RUN_S)
         speed = self.speed(worker)
         normal_s = run_s * speed
+        if declared_s > 0:
+            fit = self._fits.setdefault((customer, service), _DeclarationFit())
+            fit.learn(declared_s, normal_s)
         key = _key(customer, service, declared_s)
         known = self._classes.get(key)
         if known is None:
@@ -94,6 +136,12 @@
         known.mean_s += rate * (normal_s - known.mean_s)
         known.long_share += rate * ((run_s >= long_after_s) - known.long_share)
 
+    def _prior_s(self, customer: str, service: str, declared_s: float) -> float:
+        if declared_s <= 0:
+            return _UNKNOWN_TASK_S
+        fit = self._fits.get((customer, service)) or _DeclarationFit()
+        return fit.predict_s(declared_s)
+
     def _learn_speed(self, worker: str, known: _ClassEstimate, run_s: float) -> None:
         if known.count < 2 * _PRIOR_WEIGHT:
             return
--- a/gooseberrylink/slots.py
+++ b/gooseberrylink/slots.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from gooseberrylink.peers.messages import EntryFrame
+
 _SHORT_RESERVE_MAX = 3
 _SHORT_BUSY_DECAY_S = 2.0
 
@@ -11,13 +13,15 @@
     """What an entry last said of its queue.
 
     Attributes:
-        demand: Slots that the entry still wants at this agent.
+        demand: Slots that the entry still wants here for short tasks.
+        demand_long: Slots that it still wants here for long tasks.
         pressure: Its queue length for each of its tasks in flight.
         stated_s: When it said so, on the agent's clock.
         grant_ends_s: When the slot reserved for it is free again; 0 if none.
     """
 
     demand: int = 0
+    demand_long: int = 0
     pressure: float = 0.0
     stated_s: float = 0.0
     grant_ends_s: float = 0.0
@@ -50,17 +54,25 @@
         self._short_busy = 0.0
         self._short_busy_s = 0.0
 
-    def state_demand(
-        self, entry: str, demand: int, backlog: int, in_flight: int, now_s: float
-    ) -> None:
+    def state_demand(self, entry: str, frame: EntryFrame, now_s: float) -> None:
         """Notes what an entry says of its queue."""
         state = self._entries.setdefault(entry, EntryDemand())
-        state.demand = demand
-        state.pressure = backlog / (in_flight + 1)
+        state.demand = frame.demand
+        state.demand_long = frame.demand_long
+        state.pressure = frame.backlog / (frame.in_flight + 1)
         state.stated_s = now_s
-        if backlog == 0:
+        if frame.is_grant_returned:
             state.grant_ends_s = 0.0
 
+    def has_room_for(self, entry: str, now_s: float) -> bool:
+        """Says whether a slot is free for what the entry wants here."""
+        state = self._entries.get(entry)
+        if state is None:
+            return False
+        if state.demand > 0 and self.free_for(entry, now_s) > 0:
+            return True
+        return state.demand_long > 0 and self.free_long_for(entry, now_s) > 0
+
     def remove_entry(self, entry: str) -> None:
         """Frees what was reserved for an entry that is gone."""
         self._entries.pop(entry, None)
@@ -111,7 +123,9 @@
         own = self._fresh_pressure(owner, now_s)
         best, best_pressure = None, own * self._pressure_ratio
         for name, state in self._entries.items():
-            if name == owner or state.demand <= 0 or state.grant_ends_s > now_s:
+            if name == owner or state.grant_ends_s > now_s:
+                continue
+            if not self.has_room_for(name, now_s):
                 continue
             pressure = self._fresh_pressure(name, now_s)
             if pressure > best_pressure:
@@ -119,7 +133,10 @@
         if best is None:
             return None
         state = self._entries[best]
-        state.demand -= 1
+        if state.demand > 0:
+            state.demand -= 1
+        else:
+            state.demand_long -= 1
         state.grant_ends_s = now_s + self._grant_s
         return best
 
--- a/gooseberrylink/standins/backend.py
+++ b/gooseberrylink/standins/backend.py
@@ -1,6 +1,5 @@
 """Stands in for a backend server, and keeps the log of what it started."""
 
-import collections
 import contextlib
 import dataclasses
 from typing import Any
@@ -21,19 +20,24 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Start:
-    """One start of a task, as the backend server saw it."""
+    """One start of a task, as the backend server saw it.
+
+    Attributes:
+        label: The payload's label; names the task across submissions.
+    """
 
     task_id: str
-    job_id: str
     customer: str
     worker: str
+    label: str
     started_s: float
 
 
 class FakeBackend:
     """Runs tasks by sleeping; implements BackendServer.
 
-    A payload may say {"run_s": seconds, "fail": true, "value": anything}.
+    A payload may say {"run_s": seconds, "fail": true, "value": anything,
+    "label": name for the log of starts}.
 
     Attributes:
         speed: Run times are divided by this.
@@ -54,7 +58,9 @@
     ) -> BackendOutcome:
         """See BackendServer."""
         started_s = trio.current_time()
-        self.starts.append(Start(task_id, job_id, customer, self.worker, started_s))
+        payload = payload if isinstance(payload, dict) else {}
+        label = str(payload.get("label", ""))
+        self.starts.append(Start(task_id, customer, self.worker, label, started_s))
         self.running += 1
         self.most_running = max(self.most_running, self.running)
         try:
@@ -62,8 +68,7 @@
         finally:
             self.running -= 1
 
-    async def _run(self, payload: Any, started_s: float) -> BackendOutcome:
-        payload = payload if isinstance(payload, dict) else {}
+    async def _run(self, payload: dict, started_s: float) -> BackendOutcome:
         if self.is_failing:
             await trio.sleep(0.002)
             return BackendOutcome(Status.FAILED, reason="backend_error")
@@ -74,13 +79,6 @@
         return BackendOutcome(Status.DONE, payload.get("value"), run_s=run_s)
 
 
-def starts_by_task(backends: list[FakeBackend]) -> collections.Counter[str]:
-    """Counts the starts of each task over all backend servers."""
-    return collections.Counter(
-        start.task_id for backend in backends for start in backend.starts
-    )
-
-
 class BackendApi:
     """Serves a FakeBackend over HTTP and announces it to its agent."""
 
--- /dev/null
+++ b/gooseberrylink/standins/deployment.py
@@ -0,0 +1,180 @@
+"""Runs entries and agents of one process, with fakes at all interfaces."""
+
+import collections
+from typing import Protocol
+
+import trio
+
+from gooseberrylink.agent import Agent
+from gooseberrylink.backends.server import Announcement
+from gooseberrylink.config import AgentSettings, EntrySettings
+from gooseberrylink.entry import Entry
+from gooseberrylink.operators.store import ConfigurationStore
+from gooseberrylink.peers.grpc_link import GrpcDialer, GrpcListener, GrpcThread
+from gooseberrylink.peers.link import Dialer
+from gooseberrylink.standins.backend import FakeBackend
+from gooseberrylink.standins.network import MemoryNetwork
+from gooseberrylink.standins.platform import MemoryPlatform
+
+_NO_ADDRESS = "127.0.0.1:1"
+_APPLY_TIMEOUT_S = 5.0
+
+
+class Network(Protocol):
+    """Connects agents to entries."""
+
+    async def listen(self, name: str, entry: Entry) -> str:
+        """Makes an entry reachable; returns its address."""
+
+    def dialer(self, worker: str) -> Dialer:
+        """Returns the dialer for one agent."""
+
+    async def close(self, address: str) -> None:
+        """Makes an entry unreachable."""
+
+
+class GrpcNetwork:
+    """Connects agents to entries over gRPC on loopback."""
+
+    def __init__(self, nursery: trio.Nursery, thread: GrpcThread):
+        self._nursery = nursery
+        self._thread = thread
+        self._listeners: dict[str, GrpcListener] = {}
+
+    async def listen(self, name: str, entry: Entry) -> str:
+        """See Network."""
+        listener = GrpcListener(self._thread)
+        await listener.start("127.0.0.1:0")
+        self._listeners[listener.address] = listener
+        self._nursery.start_soon(self._accept, listener, entry)
+        return listener.address
+
+    def dialer(self, worker: str) -> GrpcDialer:
+        """See Network."""
+        return GrpcDialer(self._thread)
+
+    async def close(self, address: str) -> None:
+        """See Network."""
+        await self._listeners.pop(address).stop()
+
+    async def _accept(self, listener: GrpcListener, entry: Entry) -> None:
+        while True:
+            link = await listener.accept()
+            self._nursery.start_soon(entry.serve_link, link)
+
+
+class Deployment:
+    """Entries, agents and fake backend servers that run in this process.
+
+    Attributes:
+        service: Service of all backend servers.
+        entries: Entries that run.
+        agents: Agents that run, by worker.
+        backends: Every fake backend ever attached; their logs are the judge.
+    """
+
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        network: Network | MemoryNetwork,
+        service: str,
+        platform: MemoryPlatform | None = None,
+    ):
+        self.service = service
+        self.network = network
+        self.platform = platform or MemoryPlatform()
+        self.entries: list[Entry] = []
+        self.agents: dict[str, Agent] = {}
+        self.backends: list[FakeBackend] = []
+        self._nursery = nursery
+        self._scopes: dict[Entry | Agent, trio.CancelScope] = {}
+
+    async def configure(self, text: str) -> None:
+        """Makes declarations the configuration in force."""
+        store = ConfigurationStore(self.platform)
+        await store.apply(text, "setup", None, _APPLY_TIMEOUT_S)
+
+    async def add_entry(self, name: str, **settings) -> Entry:
+        """Starts an entry; settings go over the defaults."""
+        values = {
+            "entry": name,
+            "data_centre": "dc-1",
+            "ready_peers": 1,
+            "platform": _NO_ADDRESS,
+        }
+        entry = Entry(EntrySettings(**(values | settings)), self.platform, seed=1)
+        await self._run(entry)
+        entry.address = await self.network.listen(name, entry)
+        self.entries.append(entry)
+        return entry
+
+    async def add_agent(
+        self,
+        worker: str,
+        slots: int = 8,
+        backend: FakeBackend | None = None,
+        **settings,
+    ) -> Agent:
+        """Starts an agent with a backend server; settings go over the defaults."""
+        values = {
+            "worker": worker,
+            "data_centre": "dc-1",
+            "entries": [entry.address for entry in self.entries],
+        }
+        agent = Agent(
+            AgentSettings(**(values | settings)),
+            self.network.dialer(worker),
+            seed=len(self.agents),
+        )
+        self.attach(agent, backend or FakeBackend(worker), slots)
+        self.agents[worker] = agent
+        await self._run(agent)
+        return agent
+
+    def attach(self, agent: Agent, backend: FakeBackend, slots: int = 8) -> None:
+        """Gives an agent a fake backend server."""
+        self.backends.append(backend)
+        agent.attach_backend(backend, Announcement(self.service, "fake:1", slots))
+
+    async def wait_connected(self) -> None:
+        """Waits until every entry has every agent."""
+        while not all(
+            len([p for p in entry.peers.values() if p.can_serve]) >= len(self.agents)
+            and entry.is_ready
+            for entry in self.entries
+        ):
+            await trio.sleep(0.01)
+
+    def start_soon(self, function) -> None:
+        """Runs something beside the deployment, for as long as it runs."""
+        self._nursery.start_soon(function)
+
+    def kill_agent(self, worker: str) -> None:
+        """Ends an agent at once, with all that it knows."""
+        agent = self.agents.pop(worker)
+        self._scopes[agent].cancel()
+
+    async def kill_entry(self, entry: Entry) -> None:
+        """Ends an entry at once, with all that it knows."""
+        self.entries.remove(entry)
+        await self.network.close(entry.address)
+        self._scopes[entry].cancel()
+
+    def starts(self) -> collections.Counter[str]:
+        """Counts the starts of each task, from the backends' own logs."""
+        return collections.Counter(
+            start.task_id for backend in self.backends for start in backend.starts
+        )
+
+    def started_labels(self) -> collections.Counter[str]:
+        """Counts starts by the label that the payload carries."""
+        return collections.Counter(
+            start.label for backend in self.backends for start in backend.starts
+        )
+
+    async def _run(self, process: Entry | Agent) -> None:
+        async def run(task_status):
+            with trio.CancelScope() as self._scopes[process]:
+                await process.run(task_status=task_status)
+
+        await self._nursery.start(run)
--- a/gooseberrylink/standins/network.py
+++ b/gooseberrylink/standins/network.py
@@ -33,12 +33,13 @@
         self.connections: list[Connection] = []
         self.unreachable: set[tuple[str, str]] = set()
 
-    def listen(self, address: str, entry: Entry) -> None:
-        """Makes an entry reachable at an address."""
-        entry.address = address
+    async def listen(self, name: str, entry: Entry) -> str:
+        """Makes an entry reachable; returns its address."""
+        address = f"{name}:1"
         self._entries[address] = entry
+        return address
 
-    def close(self, address: str) -> None:
+    async def close(self, address: str) -> None:
         """Makes an address unreachable and closes its links."""
         self._entries.pop(address, None)
         for connection in self.of(address=address):
--- a/gooseberrylink/task_queue.py
+++ b/gooseberrylink/task_queue.py
@@ -10,6 +10,8 @@
     """Waiting tasks, short and long ones apart, each by their order key.
 
     Attributes:
+        short_count: Waiting short tasks.
+        long_count: Waiting long tasks.
         work_s: Expected run time of all waiting tasks, in seconds.
     """
 
@@ -17,17 +19,21 @@
         self._short: list[tuple[tuple[int, float], int, Task]] = []
         self._long: list[tuple[tuple[int, float], int, Task]] = []
         self._sequence = itertools.count()
-        self._length = 0
+        self.short_count = 0
+        self.long_count = 0
         self.work_s = 0.0
 
     def __len__(self) -> int:
-        return self._length
+        return self.short_count + self.long_count
 
     def push(self, task: Task) -> None:
         """Adds a task; it must be in state QUEUED."""
         heap = self._long if task.is_long else self._short
         heapq.heappush(heap, (task.order, next(self._sequence), task))
-        self._length += 1
+        if task.is_long:
+            self.long_count += 1
+        else:
+            self.short_count += 1
         self.work_s += task.expected_s
 
     def peek(self, is_long: bool) -> Task | None:
@@ -59,7 +65,10 @@
         )
 
     def _forget(self, task: Task) -> None:
-        self._length -= 1
+        if task.is_long:
+            self.long_count -= 1
+        else:
+            self.short_count -= 1
         self.work_s = max(0.0, self.work_s - task.expected_s)
-        if not self._length:
+        if not len(self):
             self.work_s = 0.0
--- a/gooseberrylink/types.py
+++ b/gooseberrylink/types.py
@@ -65,6 +65,7 @@
     """Where a task is, as far as the entry knows."""
 
     QUEUED = "queued"
+    PAUSED = "paused"
     ASSIGNED = "assigned"
     DONE = "done"
     RAN = "ran"
@@ -95,6 +96,11 @@
     worker: str = ""
     attempts: int = 0
 
+    @property
+    def assignment_id(self) -> str:
+        """Names the latest attempt to place the task."""
+        return f"{self.task_id}.{self.attempts}"
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Job:
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -3,13 +3,14 @@
 from gooseberrylink.codes import Code
 
 
-def test_job_gets_its_whole_answer_in_order(run_deployment):
+def test_job_gets_its_whole_answer_in_order(run_deployment, make_job):
     async def test(deployment):
         entry = await deployment.add_entry("entry-1")
         await deployment.add_agent("tank-1")
-        answer = await deployment.submit(entry, 0.3, 0.1, 0.2)
+        await deployment.wait_connected()
+        answer = await entry.submit(make_job(0.3, 0.1, 0.2))
         assert answer.code is Code.OK
         assert answer.results == [0, 1, 2]
-        deployment.assert_no_task_started_twice()
+        assert set(deployment.starts().values()) == {1}
 
     run_deployment(test)
