Test the callers' interface and real processes under signals

Change: tests over loopback HTTP, and one deployment of seven processes with SIGKILL and SIGSTOP of agents and SIGTERM of an entry under load; the judge is the backend servers' log of starts.

--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,219 @@
+"""The whole path through real processes, with real signals."""
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+import urllib.error
+import urllib.request
+
+import pytest
+from conftest import EXAMPLES
+
+WAIT_S = 30.0
+
+
+def free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def call(address: str, path: str, method: str = "GET", body=None, headers=None):
+    data = json.dumps(body).encode() if body is not None else None
+    request = urllib.request.Request(
+        f"http://{address}{path}", data, headers or {}, method=method
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=WAIT_S) as response:
+            return response.status, response.read()
+    except urllib.error.HTTPError as error:
+        return error.code, error.read()
+
+
+def wait_for(condition) -> None:
+    ends_s = time.monotonic() + WAIT_S
+    while time.monotonic() < ends_s:
+        try:
+            if condition():
+                return
+        except OSError:
+            pass
+        time.sleep(0.05)
+    raise AssertionError(f"never came: {condition}")
+
+
+class Processes:
+    """A deployment of separate processes; ended by the fixture."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.running: dict[str, subprocess.Popen] = {}
+        self.platform = free_address()
+        self.entries = {name: free_address() for name in ("entry-1", "entry-2")}
+        self.backends: dict[str, str] = {}
+        self._agent_entries = {name: free_address() for name in self.entries}
+        self._agents: dict[str, str] = {}
+
+    def spawn(self, name: str, *arguments: str) -> None:
+        command = [sys.executable, "-m", "gooseberrylink", *arguments]
+        log = open(self.folder / f"{name}.log", "a")
+        self.running[name] = subprocess.Popen(
+            command, stdout=log, stderr=log, cwd=self.folder
+        )
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        self.running[name].send_signal(number)
+
+    def start_platform(self) -> None:
+        self.spawn("platform", "standin-platform", "--listen", self.platform)
+        wait_for(lambda: call(self.platform, "/v1/objects/none")[0] == 404)
+        applied = subprocess.run(
+            [sys.executable, "-m", "gooseberrylink", "apply"]
+            + [str(EXAMPLES / "bennani.yaml"), "--platform", self.platform],
+            capture_output=True,
+            text=True,
+        )
+        assert applied.returncode == 0, applied.stdout + applied.stderr
+
+    def start_entry(self, name: str) -> None:
+        settings = {
+            "entry": name,
+            "data_centre": "ain-sebaa",
+            "listen": self.entries[name],
+            "listen_agents": self._agent_entries[name],
+            "platform": self.platform,
+            "drain_notice_s": 0.2,
+        }
+        path = self.folder / f"{name}.yaml"
+        path.write_text(json.dumps(settings))
+        self.spawn(name, "entry", "--settings", str(path))
+
+    def start_agent(self, worker: str) -> None:
+        address = self._agents.setdefault(worker, free_address())
+        settings = {
+            "worker": worker,
+            "data_centre": "ain-sebaa",
+            "listen": address,
+            "entries": list(self._agent_entries.values()),
+        }
+        path = self.folder / f"{worker}.yaml"
+        path.write_text(json.dumps(settings))
+        self.spawn(worker, "agent", "--settings", str(path))
+
+    def start_backend(self, worker: str) -> None:
+        address = self.backends.setdefault(worker, free_address())
+        self.spawn(
+            f"backend-{worker}",
+            *("standin-backend", "--listen", address, "--service", "dispatch"),
+            *("--agent", self._agents[worker]),
+        )
+
+    def wait_ready(self, slots: int) -> None:
+        def ready(address):
+            lanes = json.loads(call(address, "/v1/status")[1])["lanes"]
+            return sum(lane["slots"] for lane in lanes) == slots
+
+        for address in self.entries.values():
+            wait_for(lambda address=address: ready(address))
+
+    def submit(self, entry: str, run_s: list[float], label: str, **fields):
+        tasks = [
+            {"payload": {"run_s": s, "value": i, "label": f"{label}/{i}"}}
+            for i, s in enumerate(run_s)
+        ]
+        body = {"customer": "shops", "service": "dispatch", "tasks": tasks} | fields
+        key = {"Idempotency-Key": label}
+        status, data = call(self.entries[entry], "/v1/jobs", "POST", body, key)
+        return json.loads(data)
+
+    def submit_in_background(self, *arguments, **fields):
+        answers: list[dict] = []
+        thread = threading.Thread(
+            target=lambda: answers.append(self.submit(*arguments, **fields))
+        )
+        thread.start()
+        return thread, answers
+
+    def starts(self) -> list[str]:
+        return [
+            start["label"]
+            for address in self.backends.values()
+            for start in json.loads(call(address, "/starts")[1])
+        ]
+
+
+@pytest.fixture
+def processes(tmp_path):
+    deployment = Processes(tmp_path)
+    deployment.start_platform()
+    for name in deployment.entries:
+        deployment.start_entry(name)
+    for worker in ("tank-1", "tank-2"):
+        deployment.start_agent(worker)
+        deployment.start_backend(worker)
+    deployment.wait_ready(slots=16)
+    yield deployment
+    for process in deployment.running.values():
+        process.send_signal(signal.SIGCONT)
+        process.kill()
+        process.wait()
+
+
+def test_processes_keep_their_promises(processes):
+    answer = processes.submit("entry-1", [0.1] * 20, "whole")
+    assert answer["results"] == list(range(20))
+    check_resubmission(processes)
+    check_killed_agent(processes)
+    check_frozen_agent(processes)
+    check_entry_shutdown(processes)
+    labels = processes.starts()
+    assert len(labels) == len(set(labels))
+
+
+def check_resubmission(processes):
+    once = {"repeatable": False}
+    thread, answers = processes.submit_in_background("entry-1", [0.5], "once", **once)
+    wait_for(lambda: "once/0" in processes.starts())
+    again = processes.submit("entry-2", [0.5], "once", **once)
+    thread.join()
+    assert again["results"] == answers[0]["results"] == [0]
+    assert processes.starts().count("once/0") == 1
+
+
+def check_killed_agent(processes):
+    thread, answers = processes.submit_in_background("entry-1", [3.0] * 16, "killed")
+    wait_for(lambda: sum("killed" in label for label in processes.starts()) == 16)
+    processes.signal("tank-1", signal.SIGKILL)
+    processes.running["tank-1"].wait()
+    processes.start_agent("tank-1")
+    thread.join()
+    assert answers[0]["name"] == "AGENT_LOST"
+    assert answers[0]["ran"] == "may have run"
+    processes.wait_ready(slots=16)
+
+
+def check_frozen_agent(processes):
+    for worker in ("tank-1", "tank-2"):
+        processes.signal(worker, signal.SIGSTOP)
+    answer = processes.submit("entry-2", [0.1] * 4, "frozen", deadline_s=3.0)
+    assert answer["ran"] == "may have run"
+    for worker in ("tank-1", "tank-2"):
+        processes.signal(worker, signal.SIGCONT)
+    processes.wait_ready(slots=16)
+    assert processes.submit("entry-2", [0.1], "woken")["name"] == "OK"
+    # What had waited in front of the frozen agents was not started by them.
+    assert not any("frozen" in label for label in processes.starts())
+
+
+def check_entry_shutdown(processes):
+    thread, answers = processes.submit_in_background("entry-1", [1.5] * 3, "last")
+    wait_for(lambda: "last/0" in processes.starts())
+    processes.signal("entry-1", signal.SIGTERM)
+    wait_for(lambda: call(processes.entries["entry-1"], "/readyz")[0] == 503)
+    thread.join()
+    assert answers[0]["results"] == [0, 1, 2]
+    assert processes.running["entry-1"].wait(WAIT_S) == 0
