--- a/gooseberrylink/bench/replay.py
+++ b/gooseberrylink/bench/replay.py
@@ -72,6 +72,7 @@
         broken_promises: What the backend servers' logs hold against the
             answers; empty if every promise was kept.
         wasted_messages: Frames that moved no task, and refused assignments.
+        messages: Counts of frames and items by kind.
     """
 
     scenario: Scenario
@@ -81,6 +82,7 @@
     tasks_started: int
     frames: int
     wasted_messages: int
+    messages: dict[str, int]
     retries: dict[str, int]
     refusals: dict[str, int]
     quarantines: int
@@ -179,7 +181,6 @@
         agents = [agent.counters for agent in deployment.agents.values()]
         refused = sum(sum(c.by_reason("assigns_refused").values()) for c in agents)
         control = sum(c.get("frames_sent", "control") for c in entries + agents)
-        hole = self._trace.header.black_hole
         return ReplayResult(
             scenario=self._scenario,
             policy=self._policy,
@@ -189,14 +190,27 @@
             frames=control
             + sum(c.get("frames_sent", "data") for c in entries + agents),
             wasted_messages=control + refused,
+            messages={
+                "entries' data frames": sum(
+                    c.get("frames_sent", "data") for c in entries
+                ),
+                "entries' control frames": sum(
+                    c.get("frames_sent", "control") for c in entries
+                ),
+                "agents' data frames": sum(
+                    c.get("frames_sent", "data") for c in agents
+                ),
+                "agents' control frames": sum(
+                    c.get("frames_sent", "control") for c in agents
+                ),
+                "assignments refused": refused,
+                "grants": sum(c.get("grants") for c in agents),
+                "grants unused": sum(c.get("grants_unused") for c in entries),
+            },
             retries=_sum_by_reason(entries, "retries"),
             refusals=_sum_by_reason(entries, "refusals"),
             quarantines=sum(c.get("quarantines") for c in agents),
-            black_hole_starts=sum(
-                len([s for s in b.starts if b.is_failing])
-                for b in deployment.backends
-                if b.worker == hole
-            ),
+            black_hole_starts=sum(b.failing_starts for b in deployment.backends),
             length_s=length_s,
         )
 
--- a/gooseberrylink/bench/report.py
+++ b/gooseberrylink/bench/report.py
@@ -12,6 +12,8 @@
 from gooseberrylink.latency import ValueHistogram
 from gooseberrylink.operators.declarations import Declarations
 
+_GOODPUT_START_SHARE = 0.25
+
 Figures = dict[str, float]
 
 
@@ -73,6 +75,7 @@
         "answers": dict(codes),
         "refusals": result.refusals,
         "retries": result.retries,
+        "messages": result.messages,
         "broken_promises": result.broken_promises[:10],
     }
 
@@ -98,10 +101,18 @@
 def _goodput(result: ReplayResult) -> float:
     """Work that reached callers in time, in seconds a second.
 
-    Counted over the time in which jobs were submitted and answered.
+    Counted while jobs are still being submitted, and after a start in which
+    none can have ended yet.
     """
-    done_s = sum(r.work_s for r in result.records if r.is_whole)
-    return done_s / result.length_s
+    first_s = min(r.submitted_s for r in result.records)
+    last_s = max(r.submitted_s for r in result.records)
+    begins_s = first_s + _GOODPUT_START_SHARE * (last_s - first_s)
+    done_s = sum(
+        r.work_s
+        for r in result.records
+        if r.is_whole and begins_s <= r.submitted_s + r.took_s <= last_s
+    )
+    return done_s / max(1e-9, last_s - begins_s)
 
 
 def _whole_by_customer(result: ReplayResult) -> dict[str, float]:
--- a/gooseberrylink/standins/backend.py
+++ b/gooseberrylink/standins/backend.py
@@ -43,6 +43,7 @@
         speed: Run times are divided by this.
         is_failing: Whether every task fails at once, whatever it is.
         starts: Every start, in order; the judge of all promises.
+        failing_starts: How many of them came while it was failing.
     """
 
     def __init__(self, worker: str, speed: float = 1.0, is_failing: bool = False):
@@ -51,7 +52,7 @@
         self.is_failing = is_failing
         self.starts: list[Start] = []
         self.running = 0
-        self.most_running = 0
+        self.failing_starts = 0
 
     async def run(
         self, task_id: str, job_id: str, customer: str, payload: Any
@@ -62,7 +63,7 @@
         label = str(payload.get("label", ""))
         self.starts.append(Start(task_id, customer, self.worker, label, started_s))
         self.running += 1
-        self.most_running = max(self.most_running, self.running)
+        self.failing_starts += self.is_failing
         try:
             return await self._run(payload, started_s)
         finally:
