Serve the entries' queues by urgency and ask where news is old

Cause: with three entries, simulated at 85% load, an entry had 94 tasks queued while 20 to 25 slots stood free that only the others knew of; and slots went by queue length, so that short tasks of one entry waited behind long ones of another. Change: entries state when their first task is due, and a freed slot goes to the most urgent queue; an entry with a queue asks agents whose news is old; entries prefer different workers among equals; frames are counted by kind. Conclusion: slots are used while anyone queues, at the price of messages, which are the next to mend.

--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -64,7 +64,7 @@
         self.configuration = Configuration()
         self.gate = Gate(settings.lease_s, settings.retention_s, settings.max_records)
         self.ledger = SlotLedger(
-            settings.grant_s, settings.demand_valid_s, settings.pressure_ratio
+            settings.grant_s, settings.demand_valid_s, settings.grant_margin_s
         )
         self.failures = FailureWatch(settings.failure_policy())
         self.is_draining = False
--- a/gooseberrylink/bench/replay.py
+++ b/gooseberrylink/bench/replay.py
@@ -180,33 +180,24 @@
         entries = [entry.counters for entry in deployment.entries]
         agents = [agent.counters for agent in deployment.agents.values()]
         refused = sum(sum(c.by_reason("assigns_refused").values()) for c in agents)
-        control = sum(c.get("frames_sent", "control") for c in entries + agents)
+        messages = {
+            f"{role} {kind} frames": count
+            for role, group in (("entries'", entries), ("agents'", agents))
+            for kind, count in _sum_by_reason(group, "frames_sent").items()
+        }
+        frames = sum(messages.values())
+        data = sum(c.get("frames_sent", "data") for c in entries + agents)
+        messages["refused assignments"] = refused
+        messages["grants"] = sum(c.get("grants") for c in agents)
         return ReplayResult(
             scenario=self._scenario,
             policy=self._policy,
             records=self._records,
             broken_promises=self._judge(),
             tasks_started=sum(len(b.starts) for b in deployment.backends),
-            frames=control
-            + sum(c.get("frames_sent", "data") for c in entries + agents),
-            wasted_messages=control + refused,
-            messages={
-                "entries' data frames": sum(
-                    c.get("frames_sent", "data") for c in entries
-                ),
-                "entries' control frames": sum(
-                    c.get("frames_sent", "control") for c in entries
-                ),
-                "agents' data frames": sum(
-                    c.get("frames_sent", "data") for c in agents
-                ),
-                "agents' control frames": sum(
-                    c.get("frames_sent", "control") for c in agents
-                ),
-                "assignments refused": refused,
-                "grants": sum(c.get("grants") for c in agents),
-                "grants unused": sum(c.get("grants_unused") for c in entries),
-            },
+            frames=frames,
+            wasted_messages=frames - data + refused,
+            messages=messages,
             retries=_sum_by_reason(entries, "retries"),
             refusals=_sum_by_reason(entries, "refusals"),
             quarantines=sum(c.get("quarantines") for c in agents),
--- a/gooseberrylink/config.py
+++ b/gooseberrylink/config.py
@@ -31,14 +31,16 @@
         busy_heartbeat_s: Longest silence on a link while tasks are under way.
         idle_heartbeat_s: Longest silence on an idle link.
         max_misses: Silent intervals after which a link is closed.
+        demand_valid_s: How long an agent goes by an entry's word of its queue.
         drain_s: How long a shutdown waits for work in progress.
     """
 
     data_centre: Name
     lease_s: Seconds = 2.0
-    busy_heartbeat_s: Seconds = 1.0
+    busy_heartbeat_s: Seconds = 2.0
     idle_heartbeat_s: Seconds = 10.0
-    max_misses: int = Field(default=4, ge=2)
+    max_misses: int = Field(default=3, ge=2)
+    demand_valid_s: Seconds = 1.0
     drain_s: Seconds = 30.0
     log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
@@ -56,9 +58,8 @@
         announcement_valid_s: How long an announcement holds without renewal.
         run_timeout_s: How long a task may run before its fate is given up.
         grant_s: How long a freed slot stays reserved for one entry.
-        demand_valid_s: How long an entry's word of its queue counts.
-        pressure_ratio: How much longer the queue of another entry must be,
-            for its share, to get a slot that an entry's own task left.
+        grant_margin_s: How much earlier the first task of another entry must
+            be due, to get a slot that an entry's own task left.
     """
 
     worker: Name
@@ -71,8 +72,7 @@
     announcement_valid_s: Seconds = 3.0
     run_timeout_s: Seconds = 300.0
     grant_s: Seconds = 0.05
-    demand_valid_s: Seconds = 1.0
-    pressure_ratio: float = Field(default=1.5, ge=1.0)
+    grant_margin_s: float = Field(default=0.5, ge=0)
     failures_in_row: int = Field(default=3, ge=1)
     quarantine_customers: int = Field(default=2, ge=1)
     probation_s: Seconds = 5.0
--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -266,8 +266,9 @@
         while len(lane.queue) and self._place_next(lane):
             pass
         if not self._policy.is_holding:
-            for peer in lane.peers_to_ask():
-                peer.demand_told = 1
+            now_s = trio.current_time()
+            for peer in lane.peers_to_ask(now_s):
+                peer.note_demand(1, now_s)
                 peer.outbox.poke()
 
     def _place_next(self, lane: Lane) -> bool:
--- a/gooseberrylink/lane.py
+++ b/gooseberrylink/lane.py
@@ -6,7 +6,7 @@
 from gooseberrylink.types import Job
 
 _MAX_DEMAND_AT_ONE = 2
-_MIN_REGISTERED = 2
+_MAX_REGISTERED = 16
 _STRETCH = 4.0
 
 
@@ -76,30 +76,30 @@
             return 0.0
         return sum(peer.is_quarantined for peer in connected) / len(connected)
 
-    def demand_at(self, peer: AgentPeer) -> tuple[int, int]:
+    def demand_at(self, peer: AgentPeer, now_s: float) -> tuple[int, int]:
         """Returns the demand for short and long tasks to state to an agent.
 
         The demand stated to all agents together is no more than the queue, or
         slots would be reserved here that others need.
         """
-        told_elsewhere = sum(p.demand_told for p in self.peers if p is not peer)
+        told_elsewhere = sum(p.fresh_demand(now_s) for p in self.peers if p is not peer)
         untold = max(0, min(_MAX_DEMAND_AT_ONE, len(self.queue) - told_elsewhere))
         short = min(untold, self.queue.short_count)
         return short, untold - short
 
-    def peers_to_ask(self) -> list[AgentPeer]:
+    def peers_to_ask(self, now_s: float) -> list[AgentPeer]:
         """Returns agents that must hear of the queue in a frame of its own.
 
-        Agents that have tasks of this entry hear of it on the way, and its
-        slots there come back with the results. Only an entry that has few of
-        these must ask.
+        Most hear of it on the way. But an entry whose tasks run long exchanges
+        few frames, and would wait at full agents while others have slots that
+        it has not heard of. The agents with the oldest news are asked first.
         """
-        wanted = min(len(self.queue), _MIN_REGISTERED) - self.in_flight
-        wanted -= sum(peer.demand_told > 0 for peer in self.peers)
+        told = sum(peer.fresh_demand(now_s) for peer in self.peers)
+        wanted = min(len(self.queue), _MAX_REGISTERED) - told
         if wanted <= 0:
             return []
-        able = [p for p in self.peers if p.can_serve and not p.demand_told]
-        able.sort(key=lambda peer: (peer.is_quarantined, -peer.slots, peer.heard_s))
+        able = [p for p in self.peers if p.can_serve and not p.fresh_demand(now_s)]
+        able.sort(key=lambda peer: (peer.is_quarantined, peer.heard_s))
         return able[:wanted]
 
     def _start_s(self, customer: Customer, now_s: float) -> float:
--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -53,6 +53,7 @@
         self.outbox = Outbox()
         self.granted = False
         self.demand_told = 0
+        self._demand_told_s = 0.0
         self.heard_s = float("-inf")
         self._is_grant_returned = False
         self._link: Link | None = None
@@ -89,6 +90,17 @@
             return 0
         return self._free_long - (self._assigns_sent - self._assigns_seen)
 
+    def note_demand(self, demand: int, now_s: float) -> None:
+        """Notes what the agent is told of this entry's demand."""
+        self.demand_told = demand
+        self._demand_told_s = now_s
+
+    def fresh_demand(self, now_s: float) -> int:
+        """Returns the demand that the agent was told and still goes by."""
+        if now_s - self._demand_told_s > self._entry.settings.demand_valid_s:
+            return 0
+        return self.demand_told
+
     def assign(self, task: Task, is_holdable: bool, demand_ratio: float) -> None:
         """Puts a task on its way; its fate is settled by a result."""
         self.flights[task.assignment_id] = task
@@ -233,32 +245,38 @@
 
     async def _send_frames(self, link: Link, heartbeat: Heartbeat) -> None:
         while True:
-            await heartbeat.wait_until_due()
+            is_heartbeat = await heartbeat.wait_until_due()
             items = self.outbox.take()
+            self._count_frame(items, is_heartbeat)
             try:
                 link.send(encode(self._next_frame(items)))
             except LinkClosedError:
                 self._give_back(items)
                 return
 
-    def _next_frame(self, items: list) -> EntryFrame:
-        has_assign = any(isinstance(item, Assign) for item in items)
-        kind = "data" if has_assign else "control"
+    def _count_frame(self, items: list, is_heartbeat: bool) -> None:
+        kind = "heartbeat" if is_heartbeat else "control"
+        if any(isinstance(item, Assign) for item in items):
+            kind = "data"
         self._entry.counters.add("frames_sent", kind)
+
+    def _next_frame(self, items: list) -> EntryFrame:
         if self._acks:
             items.append(Ack(self._acks))
             self._acks = []
         lane = self._entry.dispatcher.lane(self.service)
-        demand, demand_long = lane.demand_at(self)
-        self.demand_told = demand + demand_long
+        now_s = trio.current_time()
+        precedence, due_s = lane.queue.most_urgent()
+        demand, demand_long = lane.demand_at(self, now_s)
+        self.note_demand(demand + demand_long, now_s)
         is_grant_returned, self._is_grant_returned = self._is_grant_returned, False
         return EntryFrame(
-            basis_s=self._clock_s + trio.current_time() - self.heard_s,
+            basis_s=self._clock_s + now_s - self.heard_s,
             demand=demand,
             demand_long=demand_long,
             is_grant_returned=is_grant_returned,
-            backlog=len(lane.queue),
-            in_flight=lane.in_flight,
+            precedence=precedence,
+            due_in_s=due_s - now_s,
             quarantined_share=lane.quarantined_share(),
             config_version=self._entry.configuration.version,
             items=items,
--- a/gooseberrylink/peers/entry_peer.py
+++ b/gooseberrylink/peers/entry_peer.py
@@ -14,6 +14,8 @@
     AgentFrame,
     EntryFrame,
     EntryHello,
+    Result,
+    Status,
     decode_at_agent,
     encode,
 )
@@ -139,17 +141,26 @@
 
     async def _send_frames(self, link: Link, heartbeat: Heartbeat) -> None:
         while True:
-            await heartbeat.wait_until_due()
+            is_heartbeat = await heartbeat.wait_until_due()
+            items = self.outbox.take()
+            self._count_frame(items, is_heartbeat)
             try:
-                link.send(encode(self._next_frame()))
+                link.send(encode(self._next_frame(items)))
             except LinkClosedError:
                 return
 
-    def _next_frame(self) -> AgentFrame:
+    def _count_frame(self, items: list, is_heartbeat: bool) -> None:
+        kind = "heartbeat" if is_heartbeat else "control"
+        results = [item for item in items if isinstance(item, Result)]
+        if any(result.status is not Status.NOT_STARTED for result in results):
+            kind = "data"
+        elif results:
+            kind = "refusal"
+        self._agent.counters.add("frames_sent", kind)
+
+    def _next_frame(self, items: list) -> AgentFrame:
         agent = self._agent
         now_s = trio.current_time()
-        items = self.outbox.take()
-        agent.counters.add("frames_sent", "data" if items else "control")
         ledger = agent.ledger
         return AgentFrame(
             clock_s=now_s,
--- a/gooseberrylink/peers/heartbeat.py
+++ b/gooseberrylink/peers/heartbeat.py
@@ -28,13 +28,18 @@
         """Notes that a frame arrived."""
         self._has_heard = True
 
-    async def wait_until_due(self) -> None:
-        """Waits until the outbox has something to send or a heartbeat is due."""
+    async def wait_until_due(self) -> bool:
+        """Waits until the outbox has something to send or a heartbeat is due.
+
+        Returns:
+            Whether it is a heartbeat.
+        """
         due = 0.0
         while not await self._outbox.wait(self._tick_s):
             due += 1.0 if self._is_busy() else self._idle_share
             if due >= 1.0:
-                return
+                return True
+        return False
 
     async def watch(self, link: Link) -> None:
         """Watches until the peer is silent for too long, then closes the link."""
--- a/gooseberrylink/peers/messages.py
+++ b/gooseberrylink/peers/messages.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import math
 from typing import Any
 
 import msgspec
@@ -124,8 +125,8 @@
         demand: How many more slots the entry would use here for short tasks.
         demand_long: How many more it would use here for long tasks.
         is_grant_returned: Whether the entry has no use for its reserved slot.
-        backlog: Tasks queued at the entry for the agent's service.
-        in_flight: Tasks of the entry that are at agents of the service.
+        precedence: Precedence of the first task in the entry's queue.
+        due_in_s: When that task is due, from now; infinite without a queue.
         quarantined_share: Share of the service's agents in quarantine.
     """
 
@@ -133,8 +134,8 @@
     demand: int = 0
     demand_long: int = 0
     is_grant_returned: bool = False
-    backlog: int = 0
-    in_flight: int = 0
+    precedence: int = 0
+    due_in_s: float = math.inf
     quarantined_share: float = 0.0
     config_version: int = 0
     items: list[Assign | Revoke | Ack | ConfigUpdate] = []
--- a/gooseberrylink/routing.py
+++ b/gooseberrylink/routing.py
@@ -8,6 +8,7 @@
 from gooseberrylink.types import Task
 
 _LOCAL_BONUS = 1.05
+_AFFINITY = 0.3
 _FRESH_S = 0.25
 _STALE_FACTOR = 0.9
 
@@ -80,6 +81,7 @@
         self._random = rng
         self._runtimes = runtimes
         self._data_centre = data_centre
+        self._affinities: dict[str, float] = {}
 
     def choose(
         self, task: Task, peers: list[AgentPeer], now_s: float
@@ -95,8 +97,16 @@
                 best, best_score = peer, score
         return best
 
+    def _affinity(self, worker: str) -> float:
+        """Makes entries prefer different workers among equally fast ones."""
+        affinity = self._affinities.get(worker)
+        if affinity is None:
+            affinity = 1.0 + _AFFINITY * self._random.random()
+            self._affinities[worker] = affinity
+        return affinity
+
     def _score(self, peer: AgentPeer, free: int, now_s: float) -> float:
-        score = self._runtimes.speed(peer.worker)
+        score = self._runtimes.speed(peer.worker) * self._affinity(peer.worker)
         if peer.granted:
             score *= 2.0
         if peer.data_centre == self._data_centre:
--- a/gooseberrylink/slots.py
+++ b/gooseberrylink/slots.py
@@ -1,6 +1,7 @@
 """Shares the slots of one backend server among the entries and task classes."""
 
 import dataclasses
+import math
 
 from gooseberrylink.peers.messages import EntryFrame
 
@@ -15,14 +16,16 @@
     Attributes:
         demand: Slots that the entry still wants here for short tasks.
         demand_long: Slots that it still wants here for long tasks.
-        pressure: Its queue length for each of its tasks in flight.
+        precedence: Precedence of the first task in its queue.
+        due_s: When that task is due, on the agent's clock.
         stated_s: When it said so, on the agent's clock.
         grant_ends_s: When the slot reserved for it is free again; 0 if none.
     """
 
     demand: int = 0
     demand_long: int = 0
-    pressure: float = 0.0
+    precedence: int = 0
+    due_s: float = math.inf
     stated_s: float = 0.0
     grant_ends_s: float = 0.0
 
@@ -30,9 +33,10 @@
 class SlotLedger:
     """Counts the slots in use and decides which entry gets a freed one.
 
-    A freed slot goes to the entry whose task ended, unless another entry has
-    a markedly longer queue for its share. Then the slot is reserved for that
-    entry for a short time, so that permits follow demand.
+    A freed slot goes to the entry whose task ended, unless the first task in
+    another entry's queue is markedly more urgent. Then the slot is reserved
+    for that entry for a short time. So the queues of all entries are served
+    nearly as one, in order of urgency.
 
     Long tasks never take the last few slots, as long as short tasks come by.
 
@@ -42,10 +46,10 @@
         running_long: Slots in use by long tasks, overruns included.
     """
 
-    def __init__(self, grant_s: float, demand_valid_s: float, pressure_ratio: float):
+    def __init__(self, grant_s: float, demand_valid_s: float, grant_margin_s: float):
         self._grant_s = grant_s
         self._demand_valid_s = demand_valid_s
-        self._pressure_ratio = pressure_ratio
+        self._grant_margin_s = grant_margin_s
         self.slots = 0
         self.limit = 0
         self.running = 0
@@ -59,7 +63,8 @@
         state = self._entries.setdefault(entry, EntryDemand())
         state.demand = frame.demand
         state.demand_long = frame.demand_long
-        state.pressure = frame.backlog / (frame.in_flight + 1)
+        state.precedence = frame.precedence
+        state.due_s = now_s + frame.due_in_s
         state.stated_s = now_s
         if frame.is_grant_returned:
             state.grant_ends_s = 0.0
@@ -120,16 +125,19 @@
         """
         if self.free_for("", now_s) <= 0:
             return None
-        own = self._fresh_pressure(owner, now_s)
-        best, best_pressure = None, own * self._pressure_ratio
+        best = None
+        best_urgency = self._urgency(owner, now_s, self._grant_margin_s)
         for name, state in self._entries.items():
             if name == owner or state.grant_ends_s > now_s:
                 continue
-            if not self.has_room_for(name, now_s):
-                continue
-            pressure = self._fresh_pressure(name, now_s)
-            if pressure > best_pressure:
-                best, best_pressure = name, pressure
+            urgency = self._urgency(name, now_s)
+            is_pressing = urgency[1] < now_s + 0.3 or not math.isfinite(best_urgency[1])
+            if (
+                is_pressing
+                and urgency < best_urgency
+                and self.has_room_for(name, now_s)
+            ):
+                best, best_urgency = name, urgency
         if best is None:
             return None
         state = self._entries[best]
@@ -145,11 +153,20 @@
         state = self._entries.get(entry)
         return state is not None and state.grant_ends_s > now_s
 
-    def _fresh_pressure(self, entry: str, now_s: float) -> float:
+    def _urgency(
+        self, entry: str, now_s: float, margin_s: float = 0.0
+    ) -> tuple[int, float]:
+        """Returns a key that is lower for more urgent queues.
+
+        Args:
+            entry: Incarnation of the entry.
+            now_s: The agent's clock.
+            margin_s: Time by which the entry counts as more urgent than it is.
+        """
         state = self._entries.get(entry)
         if state is None or now_s - state.stated_s > self._demand_valid_s:
-            return 0.0
-        return state.pressure
+            return 0, math.inf
+        return -state.precedence, state.due_s - margin_s
 
     def _short_reserve(self, now_s: float) -> int:
         """Slots kept from long tasks: as many as short tasks used lately."""
--- a/gooseberrylink/standins/deployment.py
+++ b/gooseberrylink/standins/deployment.py
@@ -102,7 +102,9 @@
             "ready_peers": 1,
             "platform": _NO_ADDRESS,
         }
-        entry = Entry(EntrySettings(**(values | settings)), self.platform, seed=1)
+        entry = Entry(
+            EntrySettings(**(values | settings)), self.platform, seed=len(self.entries)
+        )
         await self._run(entry)
         entry.address = await self.network.listen(name, entry)
         self.entries.append(entry)
--- a/gooseberrylink/task_queue.py
+++ b/gooseberrylink/task_queue.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import math
 
 from gooseberrylink.types import Task, TaskState
 
@@ -55,6 +56,15 @@
         task.state = TaskState.NOT_STARTED
         self._forget(task)
 
+    def most_urgent(self) -> tuple[int, float]:
+        """Returns precedence and due time of the first task; infinite if none."""
+        heads = [self.peek(is_long=False), self.peek(is_long=True)]
+        orders = [task.order for task in heads if task is not None]
+        if not orders:
+            return 0, math.inf
+        order, due_s = min(orders)
+        return -order, due_s
+
     def work_before_s(self, order: tuple[int, float]) -> float:
         """Returns the expected run time of the tasks that come before a key."""
         return sum(
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -8,16 +8,16 @@
 
 
 def make_ledger(slots: int = 8) -> SlotLedger:
-    ledger = SlotLedger(grant_s=0.05, demand_valid_s=1.0, pressure_ratio=1.5)
+    ledger = SlotLedger(grant_s=0.05, demand_valid_s=1.0, grant_margin_s=0.2)
     ledger.slots = ledger.limit = slots
     return ledger
 
 
-def test_freed_slot_goes_to_the_entry_with_the_longer_queue_for_its_share():
+def test_freed_slot_goes_to_the_entry_with_the_more_urgent_task():
     ledger = make_ledger(slots=1)
     ledger.start("a", False, now_s=0.0)
-    ledger.state_demand("a", EntryFrame(0.0, demand=1, backlog=1, in_flight=10), 0.0)
-    ledger.state_demand("b", EntryFrame(0.0, demand=1, backlog=9, in_flight=0), 0.0)
+    ledger.state_demand("a", EntryFrame(0.0, demand=1, due_in_s=5.0), 0.0)
+    ledger.state_demand("b", EntryFrame(0.0, demand=1, due_in_s=1.0), 0.0)
     ledger.end(False, now_s=0.1)
     assert ledger.grant_freed_slot("a", 0.1) == "b"
     assert ledger.free_for("a", 0.1) == 0
@@ -26,7 +26,7 @@
 
 def test_grant_lapses_so_that_a_silent_entry_strands_no_slot():
     ledger = make_ledger(slots=1)
-    ledger.state_demand("b", EntryFrame(0.0, demand=1, backlog=9, in_flight=0), 0.0)
+    ledger.state_demand("b", EntryFrame(0.0, demand=1, due_in_s=1.0), 0.0)
     assert ledger.grant_freed_slot("a", 0.1) == "b"
     assert ledger.free_for("a", 0.2) == 1
 
