--- a/gooseberrylink/admission.py
+++ b/gooseberrylink/admission.py
@@ -9,6 +9,7 @@
 from gooseberrylink.runtimes import RuntimeModel
 from gooseberrylink.types import Job, JobRequest, Task
 
+_DEADLINE_SHARE = 0.8
 _RETRY_SOON_S = 1.0
 _RETRY_MAX_S = 30.0
 
@@ -120,7 +121,9 @@
         order = lane.order_key(probe, customer, sum(expected_s), max(expected_s))
         ready_s = lane.wait_s(order) + sum(expected_s) / lane.parallelism()
         ready_s = max(ready_s, lane.wait_s(order) + max(expected_s))
-        if ready_s > request.deadline_s:
+        # More urgent jobs will come before it, and a job that expires half done
+        # has wasted its slots.
+        if ready_s > _DEADLINE_SHARE * request.deadline_s:
             retry_after_s = min(_RETRY_MAX_S, max(0.1, ready_s - request.deadline_s))
             detail = f"the answer would take about {ready_s:.1f} s"
             raise RefusedError(Code.OVERLOADED, detail, retry_after_s)
--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -13,7 +13,8 @@
 )
 from gooseberrylink.config import AgentSettings
 from gooseberrylink.counters import Counters
-from gooseberrylink.failures import FailureWatch
+from gooseberrylink.demand_table import DemandTable
+from gooseberrylink.failures import Failure, FailureWatch
 from gooseberrylink.gate import Gate, Record, RecordState
 from gooseberrylink.logs import log_event
 from gooseberrylink.operators.configuration import Configuration
@@ -30,9 +31,8 @@
     Revoke,
     Status,
 )
-from gooseberrylink.rendezvous import choose_entries
+from gooseberrylink.rendezvous import choose_by_weight
 from gooseberrylink.slots import SlotLedger
-from gooseberrylink.usage import CustomerUsage
 
 _JANITOR_TICK_S = 0.2
 _DRAIN_TICK_S = 0.05
@@ -63,12 +63,10 @@
         self.service = ""
         self.configuration = Configuration()
         self.gate = Gate(settings.lease_s, settings.retention_s, settings.max_records)
-        self.ledger = SlotLedger(
-            settings.grant_s, settings.demand_valid_s, settings.grant_margin_s
-        )
+        self.ledger = SlotLedger(settings.demand_valid_s, settings.grant_margin_s)
         self.failures = FailureWatch(settings.failure_policy())
         self.is_draining = False
-        self._usage = CustomerUsage()
+        self._demands = DemandTable()
         self._backend: BackendServer | None = None
         self._speed_hint = 1.0
         self._held: collections.deque[Record] = collections.deque()
@@ -93,7 +91,7 @@
             Whether everything in progress was finished and delivered.
         """
         self.is_draining = True
-        self.ledger.slots = 0
+        self.ledger.resize(0)
         self._drop_all_held("draining")
         self._poke_all()
         with trio.move_on_after(timeout_s) as scope:
@@ -109,7 +107,7 @@
         self.service = announced.service
         self._speed_hint = announced.speed_hint
         if not self.is_draining:
-            self.ledger.slots = announced.slots
+            self.ledger.resize(announced.slots)
         self.failures.reset()
         self._update_limit()
         self._poke_all()
@@ -120,7 +118,7 @@
         if self._backend is None:
             return
         self._backend = None
-        self.ledger.slots = 0
+        self.ledger.resize(0)
         self._drop_all_held("backend_left")
         self._poke_all()
         log_event("backend_detached", service=self.service, reason=reason)
@@ -153,6 +151,7 @@
         self.gate.renew_lease(peer.incarnation, frame.basis_s)
         self.ledger.state_demand(peer.incarnation, frame, now_s)
         peer.quarantined_share = frame.quarantined_share
+        self._add_up_demands(peer, frame.customer_demands, now_s)
         for item in frame.items:
             match item:
                 case Assign():
@@ -165,8 +164,7 @@
                     self.gate.acknowledge(item.assignment_ids, now_s)
                 case ConfigUpdate():
                     self._adopt(item)
-        if self.ledger.has_room_for(peer.incarnation, now_s):
-            # The entry asks although a slot is free: its view is out of date.
+        if self.ledger.meet_demand(peer.incarnation, now_s):
             peer.outbox.poke()
 
     def send_results_again(self, peer: EntryPeer) -> None:
@@ -178,10 +176,23 @@
             else:
                 peer.outbox.put(result)
 
+    def entry_connected(self, peer: EntryPeer) -> None:
+        """Gives an entry its part of the idle slots."""
+        self.ledger.add_entry(peer.incarnation)
+
     def entry_disconnected(self, peer: EntryPeer) -> None:
         """Frees what is reserved for an entry; its tasks go on."""
         self.ledger.remove_entry(peer.incarnation)
 
+    def _add_up_demands(
+        self, peer: EntryPeer, demands: dict[str, float], now_s: float
+    ) -> None:
+        for customer, asked_per_s in demands.items():
+            self._demands.tell(customer, peer.incarnation, asked_per_s, now_s)
+            total_per_s = self._demands.total_per_s(customer, now_s)
+            peer.customer_demands[customer] = total_per_s
+            peer.outbox.poke()
+
     def _adopt(self, update: ConfigUpdate) -> None:
         if self.configuration.adopt(update.version, unpack(update), "entry"):
             # Every entry hears which version is here now, and those that have
@@ -216,10 +227,9 @@
             return "draining"
         if self._backend is None:
             return "no_backend"
+        free = self.ledger.idle()
         if assign.is_long and not assign.is_holdable:
-            free = self.ledger.free_long_for(peer.incarnation, now_s)
-        else:
-            free = self.ledger.free_for(peer.incarnation, now_s)
+            free = self.ledger.idle_long(now_s)
         if free > 0:
             return None
         if self.failures.is_quarantined:
@@ -242,9 +252,9 @@
         if assign.is_long:
             self._long_ids.add(record.assignment_id)
         self.ledger.start(peer.incarnation, assign.is_long, now_s)
-        self._usage.add(assign.customer, peer.incarnation, assign.demand_ratio, now_s)
         peer.running += 1
         self.counters.add("tasks_started")
+        self.failures.started(now_s)
         self._nursery.start_soon(self._run_task, peer, record, self._backend)
 
     async def _run_task(
@@ -260,34 +270,34 @@
             outcome = BackendOutcome(Status.MAY_HAVE_RUN, reason="backend_broke")
         now_s = trio.current_time()
         self._free_slot(peer, record, now_s)
-        self._note_outcome(assign, outcome, now_s)
-        self._report(peer, record, assign, outcome, now_s)
-        self._use_free_slots(peer, now_s)
+        self._note_outcome(record, assign, outcome, now_s)
+        self._report(peer, record, outcome, now_s)
+        self._start_held(now_s)
 
     def _free_slot(self, peer: EntryPeer, record: Record, now_s: float) -> None:
         del self._running[record.assignment_id]
         peer.running -= 1
-        self.ledger.end(record.assignment_id in self._long_ids, now_s)
+        is_long = record.assignment_id in self._long_ids
         self._long_ids.discard(record.assignment_id)
+        other = self.ledger.end(peer.incarnation, is_long, now_s)
+        for known in self._peers.values():
+            if other is not None and known.incarnation == other:
+                self.counters.add("grants")
+                known.outbox.poke()
 
     def _note_outcome(
-        self, assign: Assign, outcome: BackendOutcome, now_s: float
+        self, record: Record, assign: Assign, outcome: BackendOutcome, now_s: float
     ) -> None:
         self.counters.add("tasks_ended", outcome.status.name.lower())
         if outcome.status is Status.DONE:
-            self.failures.succeeded(now_s)
-        elif self.failures.failed(assign.customer, now_s):
+            self.failures.succeeded(record.started_s)
+        elif self.failures.failed(_failure(assign), now_s):
             self.counters.add("quarantines")
             log_event("quarantine_began", "WARNING", worker=self.settings.worker)
         self._update_limit()
 
     def _report(
-        self,
-        peer: EntryPeer,
-        record: Record,
-        assign: Assign,
-        outcome: BackendOutcome,
-        now_s: float,
+        self, peer: EntryPeer, record: Record, outcome: BackendOutcome, now_s: float
     ) -> None:
         if outcome.status is Status.NOT_STARTED:
             self.gate.withdraw(record, outcome.reason, now_s)
@@ -299,25 +309,14 @@
             outcome.value,
             outcome.reason,
             outcome.run_s,
-            self._usage.demand_for_each_own(assign.customer, peer.incarnation, now_s),
         )
         self.gate.finish(record, result, now_s)
         if peer.incarnation == record.entry:
             peer.unacknowledged.add(record.assignment_id)
             peer.outbox.put(result)
 
-    def _use_free_slots(self, peer: EntryPeer, now_s: float) -> None:
-        self._start_held(now_s)
-        granted = self.ledger.grant_freed_slot(peer.incarnation, now_s)
-        if granted is None:
-            return
-        for other in self._peers.values():
-            if other.incarnation == granted:
-                self.counters.add("grants")
-                other.outbox.poke()
-
     def _start_held(self, now_s: float) -> None:
-        while self._held and self.ledger.free_for("", now_s) > 0:
+        while self._held and self.ledger.idle() > 0:
             record = self._held.popleft()
             if record.state is not RecordState.HELD:
                 continue
@@ -351,7 +350,7 @@
     # Upkeep.
 
     def _connect_chosen_entries(self) -> None:
-        chosen = choose_entries(
+        chosen = choose_by_weight(
             self.settings.worker, self._known_entries, self.settings.max_entries
         )
         for address in chosen:
@@ -363,7 +362,11 @@
         now_s = trio.current_time()
         shares = [p.quarantined_share for p in self._peers.values() if p.is_connected]
         self.failures.quarantined_share = max(shares, default=0.0)
-        self.ledger.limit = self.failures.slot_limit(self.ledger.slots, now_s)
+        limit = self.failures.slot_limit(self.ledger.slots, now_s)
+        has_risen = limit > self.ledger.limit
+        self.ledger.limit = limit
+        if has_risen:
+            self._poke_all()
 
     def _poke_all(self) -> None:
         for peer in self._peers.values():
@@ -381,10 +384,7 @@
         while True:
             await trio.sleep(_JANITOR_TICK_S)
             now_s = trio.current_time()
-            was_blocked = self.ledger.limit == 0
             self._update_limit()
-            if was_blocked and self.ledger.limit > 0 and self.ledger.slots:
-                self._poke_all()
             self._note_overruns(now_s)
             self._start_held(now_s)
             self.gate.forget_old(now_s)
@@ -397,3 +397,7 @@
                 self._long_ids.add(assignment_id)
                 self.ledger.overrun(now_s)
                 self.counters.add("overruns")
+
+
+def _failure(assign: Assign) -> Failure:
+    return Failure(assign.customer, assign.job_id, assign.is_trusted)
--- a/gooseberrylink/config.py
+++ b/gooseberrylink/config.py
@@ -40,7 +40,7 @@
     busy_heartbeat_s: Seconds = 2.0
     idle_heartbeat_s: Seconds = 10.0
     max_misses: int = Field(default=3, ge=2)
-    demand_valid_s: Seconds = 1.0
+    demand_valid_s: Seconds = 2.0
     drain_s: Seconds = 30.0
     log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
@@ -57,7 +57,6 @@
             longest deadline that the rules allow.
         announcement_valid_s: How long an announcement holds without renewal.
         run_timeout_s: How long a task may run before its fate is given up.
-        grant_s: How long a freed slot stays reserved for one entry.
         grant_margin_s: How much earlier the first task of another entry must
             be due, to get a slot that an entry's own task left.
     """
@@ -71,7 +70,6 @@
     max_held: int = Field(default=1_000, ge=0)
     announcement_valid_s: Seconds = 3.0
     run_timeout_s: Seconds = 300.0
-    grant_s: Seconds = 0.05
     grant_margin_s: float = Field(default=0.5, ge=0)
     failures_in_row: int = Field(default=3, ge=1)
     quarantine_customers: int = Field(default=2, ge=1)
--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -12,17 +12,19 @@
 from gooseberrylink.lane import Lane
 from gooseberrylink.logs import log_event
 from gooseberrylink.operators.configuration import Configuration
-from gooseberrylink.peers.agent_peer import AgentPeer
+from gooseberrylink.peers.agent_peer import AgentPeer, AssignHints
 from gooseberrylink.peers.messages import Result, Status
 from gooseberrylink.quotas import Quotas
 from gooseberrylink.retry_budget import RetryBudget
 from gooseberrylink.routing import make_policy
 from gooseberrylink.runtimes import RuntimeModel
+from gooseberrylink.trust import CustomerTrust
 from gooseberrylink.types import Answer, Job, JobRequest, Task, TaskState
 
 _RETRY_RESERVE = 50.0
 _RETRY_PAUSE_S = 0.05
 _INFEASIBLE_SPEED = 2.0
+_ASK_TICK_S = 0.05
 
 
 class Dispatcher:
@@ -46,6 +48,7 @@
         self.is_draining = False
         self.runtimes = RuntimeModel()
         self.quotas = Quotas()
+        self._trust = CustomerTrust()
         self._configuration = configuration
         self._counters = counters
         self._incarnation = incarnation
@@ -61,11 +64,13 @@
         self._nursery: trio.Nursery | None = None
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
-        """Runs delayed retries until cancelled."""
+        """Runs delayed retries and asks for slots until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             task_status.started()
-            await trio.sleep_forever()
+            while True:
+                await trio.sleep(_ASK_TICK_S)
+                self._ask_for_slots()
 
     # What callers ask.
 
@@ -119,6 +124,8 @@
                 await job.changed.wait()
         if job.failure is None and job.unfinished:
             await self._settle(job)
+        if job.failure is not None or not job.unfinished:
+            self._trust.learn(job.request.customer, job.failure is None)
         if job.failure is not None:
             return job.failure
         if not job.unfinished:
@@ -220,7 +227,6 @@
 
     def _ran(self, peer: AgentPeer, task: Task, result: Result) -> None:
         job = task.job
-        self.quotas.learn_share(job.request.customer, result.demand_for_each_own)
         if result.status is Status.DONE:
             self._learn(peer, task, result.run_s)
             task.state = TaskState.DONE
@@ -265,11 +271,24 @@
         lane = self.lane(service)
         while len(lane.queue) and self._place_next(lane):
             pass
-        if not self._policy.is_holding:
-            now_s = trio.current_time()
-            for peer in lane.peers_to_ask(now_s):
-                peer.note_demand(1, now_s)
-                peer.outbox.poke()
+        if not lane.in_flight:
+            # No frame is on its way that could bring a slot.
+            self._ask_peers(lane)
+
+    def _ask_for_slots(self) -> None:
+        """Tells agents of queues that have stood for a while."""
+        for lane in self._lanes.values():
+            if len(lane.queue) and lane.was_queueing:
+                self._ask_peers(lane)
+            lane.was_queueing = bool(len(lane.queue))
+
+    def _ask_peers(self, lane: Lane) -> None:
+        if self._policy.is_holding:
+            return
+        now_s = trio.current_time()
+        for peer in lane.peers_to_ask(now_s):
+            peer.note_demand(1, now_s)
+            peer.outbox.poke()
 
     def _place_next(self, lane: Lane) -> bool:
         now_s = trio.current_time()
@@ -294,8 +313,12 @@
         if task.attempts == 1:
             self._budget.earn()
         self._counters.add("assigns")
-        ratio = self.quotas.demand_ratio(task.job.request.customer)
-        peer.assign(task, self._policy.is_holding, ratio)
+        customer = task.job.request.customer
+        hints = AssignHints(
+            self._policy.is_holding,
+            self._trust.is_trusted(customer),
+        )
+        peer.assign(task, hints)
 
     def _is_infeasible(self, task: Task, now_s: float) -> bool:
         """Whether the job can't be answered in time and has not begun."""
--- a/gooseberrylink/entry.py
+++ b/gooseberrylink/entry.py
@@ -21,10 +21,13 @@
 from gooseberrylink.peers.messages import AgentHello, EntryHello, decode_at_entry
 from gooseberrylink.platform.client import Platform
 from gooseberrylink.platform.results import Trouble
+from gooseberrylink.rendezvous import choose_by_weight
 from gooseberrylink.types import Answer, Job, JobRequest
 
 _HELLO_TIMEOUT_S = 5.0
 _DRAIN_TICK_S = 0.05
+_QUOTA_TICK_S = 0.5
+_QUOTA_AGENTS = 3
 
 
 class Entry:
@@ -68,6 +71,7 @@
             await nursery.start(self.dispatcher.run)
             await nursery.start(self.claims.run)
             nursery.start_soon(self._poll_configuration)
+            nursery.start_soon(self._share_quotas)
             task_status.started()
 
     # Callers.
@@ -201,6 +205,21 @@
         self.dispatcher.runtimes.hint_speed(peer.worker, hello.speed_hint)
         self.dispatcher.pump(hello.service)
 
+    async def _share_quotas(self) -> None:
+        while True:
+            await trio.sleep(_QUOTA_TICK_S)
+            demands = self.dispatcher.quotas.near_limit(trio.current_time())
+            for customer, asked_per_s in demands.items():
+                self._tell_demand(customer, asked_per_s)
+
+    def _tell_demand(self, customer: str, asked_per_s: float) -> None:
+        """Tells the agents that add up a customer's demand of ours."""
+        workers = [p.worker for p in self.peers.values() if p.is_connected]
+        for worker in choose_by_weight(customer, workers, _QUOTA_AGENTS):
+            peer = self.peers[worker]
+            peer.customer_demands[customer] = asked_per_s
+            peer.outbox.poke()
+
     # Configuration.
 
     async def _poll_configuration(self) -> None:
--- a/gooseberrylink/failures.py
+++ b/gooseberrylink/failures.py
@@ -1,6 +1,7 @@
 """Quarantines a backend server that fails the tasks of every customer."""
 
 import dataclasses
+import math
 
 _MAX_REMEMBERED = 32
 
@@ -11,10 +12,13 @@
 
     Attributes:
         failures_in_row: Failures without a success in between.
-        distinct_customers: Customers that these failures hit. With fewer, the
-            job is blamed and not the backend server.
+        distinct_customers: Customers that these failures hit, or else
+        distinct_jobs: jobs of trusted customers that they hit. With fewer of
+            both, the job is blamed and not the backend server.
         probation_s: First time without any task; doubles with each failed probe.
         probation_max_s: Upper bound of that time.
+        slow_start_slots: Slots that a new backend server may use before its
+            first success, or until it has run a task for slow_start_s.
         successes_to_clear: Successful probes that end the quarantine.
         max_quarantined_share: Share of a service's workers above which no
             further one goes into quarantine.
@@ -22,12 +26,28 @@
 
     failures_in_row: int = 3
     distinct_customers: int = 2
+    distinct_jobs: int = 2
     probation_s: float = 5.0
     probation_max_s: float = 60.0
+    slow_start_slots: int = 2
+    slow_start_s: float = 0.5
     successes_to_clear: int = 2
     max_quarantined_share: float = 0.34
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Failure:
+    """One failed task.
+
+    Attributes:
+        is_trusted: Whether most of the customer's jobs end well elsewhere.
+    """
+
+    customer: str
+    job_id: str
+    is_trusted: bool = False
+
+
 class FailureWatch:
     """Watches the outcomes of all entries' tasks at one backend server.
 
@@ -38,10 +58,13 @@
 
     def __init__(self, policy: FailurePolicy):
         self._policy = policy
-        self._failed_customers: list[str] = []
+        self._failures: list[Failure] = []
         self._probation_s = policy.probation_s
         self._blocked_until_s = 0.0
         self._probe_successes = 0
+        self._last_failure_s = -math.inf
+        self._is_proven = False
+        self._first_start_s = math.inf
         self.is_quarantined = False
         self.quarantined_share = 0.0
 
@@ -49,45 +72,72 @@
         """Returns how many tasks may run at once just now."""
         if self.is_quarantined:
             return 1 if now_s >= self._blocked_until_s else 0
-        if self._failed_customers:
+        if self._failures:
             return 1
-        return slots
+        if self._is_proven or now_s - self._first_start_s > self._policy.slow_start_s:
+            return slots
+        return min(slots, self._policy.slow_start_slots)
+
+    def started(self, now_s: float) -> None:
+        """Notes the start of a task."""
+        self._first_start_s = min(self._first_start_s, now_s)
 
     def blocked_until_s(self) -> float:
         """When the next probe may start; 0 outside quarantine."""
         return self._blocked_until_s if self.is_quarantined else 0.0
 
-    def succeeded(self, now_s: float) -> None:
-        """Notes a success of any customer's task."""
-        self._failed_customers.clear()
+    def succeeded(self, started_s: float) -> None:
+        """Notes a success of any customer's task.
+
+        Args:
+            started_s: When that task was started. What started before the last
+                failure says nothing of how the server is now.
+        """
+        if started_s < self._last_failure_s:
+            return
+        self._failures.clear()
+        self._is_proven = True
         if not self.is_quarantined:
             return
         self._probe_successes += 1
         if self._probe_successes >= self._policy.successes_to_clear:
-            self.reset()
+            self._end_quarantine()
 
-    def failed(self, customer: str, now_s: float) -> bool:
+    def failed(self, failure: Failure, now_s: float) -> bool:
         """Notes a failure; returns whether a quarantine began with it."""
+        self._last_failure_s = now_s
         if self.is_quarantined:
             self._block(now_s)
             return False
-        if len(self._failed_customers) < _MAX_REMEMBERED:
-            self._failed_customers.append(customer)
-        policy = self._policy
+        if len(self._failures) < _MAX_REMEMBERED:
+            self._failures.append(failure)
         is_blamed = (
-            len(self._failed_customers) >= policy.failures_in_row
-            and len(set(self._failed_customers)) >= policy.distinct_customers
-            and self.quarantined_share < policy.max_quarantined_share
+            len(self._failures) >= self._policy.failures_in_row
+            and self._is_servers_fault()
+            and self.quarantined_share < self._policy.max_quarantined_share
         )
         if is_blamed:
             self.is_quarantined = True
             self._block(now_s)
         return is_blamed
 
+    def _is_servers_fault(self) -> bool:
+        customers = {failure.customer for failure in self._failures}
+        jobs = {failure.job_id for failure in self._failures if failure.is_trusted}
+        if len(customers) >= self._policy.distinct_customers:
+            return True
+        return len(jobs) >= self._policy.distinct_jobs
+
     def reset(self) -> None:
         """Forgets all evidence, as for a new backend server."""
+        self._is_proven = False
+        self._first_start_s = math.inf
+        self._end_quarantine()
+
+    def _end_quarantine(self) -> None:
         self.is_quarantined = False
-        self._failed_customers.clear()
+        self._failures.clear()
+        self._last_failure_s = -math.inf
         self._probation_s = self._policy.probation_s
         self._probe_successes = 0
 
--- a/gooseberrylink/lane.py
+++ b/gooseberrylink/lane.py
@@ -16,6 +16,7 @@
     Attributes:
         service: Name of the service.
         in_flight: Tasks of this entry that are at agents.
+        was_queueing: Whether tasks were queued when it was last looked at.
     """
 
     def __init__(self, service: str):
@@ -23,6 +24,7 @@
         self.queue = TaskQueue()
         self.peers: list[AgentPeer] = []
         self.in_flight = 0
+        self.was_queueing = False
         self._finish_s: dict[str, float] = {}
         self._weights: dict[str, float] = {}
 
--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -1,5 +1,6 @@
 """Keeps the entry's link to one agent."""
 
+import dataclasses
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -31,13 +32,22 @@
 _MAX_ACKS_WAITING = 64
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class AssignHints:
+    """What an assignment tells the agent beside the task; see Assign."""
+
+    is_holdable: bool
+    is_trusted: bool
+
+
 class AgentPeer:
     """One agent, as the entry knows it, across links and incarnations.
 
     Attributes:
         flights: Tasks whose fate at this agent is not settled, by assignment.
-        granted: Whether the last frame reserved a slot for this entry.
         demand_told: Slots that the agent was told this entry wants there.
+        customer_demands: What the next frame tells the agent of customers
+            that are close to their quota.
         config_version: Version in force at the agent, as last heard.
     """
 
@@ -51,11 +61,10 @@
         self.is_quarantined = False
         self.flights: dict[str, Task] = {}
         self.outbox = Outbox()
-        self.granted = False
         self.demand_told = 0
+        self.customer_demands: dict[str, float] = {}
         self._demand_told_s = 0.0
         self.heard_s = float("-inf")
-        self._is_grant_returned = False
         self._link: Link | None = None
         self._clock_s = 0.0
         self._free = 0
@@ -101,11 +110,10 @@
             return 0
         return self.demand_told
 
-    def assign(self, task: Task, is_holdable: bool, demand_ratio: float) -> None:
+    def assign(self, task: Task, hints: AssignHints) -> None:
         """Puts a task on its way; its fate is settled by a result."""
         self.flights[task.assignment_id] = task
         self._assigns_sent += 1
-        self.granted = False
         item = Assign(
             assignment_id=task.assignment_id,
             task_id=task.task_id,
@@ -114,8 +122,8 @@
             payload=task.spec.payload,
             remaining_s=task.job.expires_s - trio.current_time(),
             is_long=task.is_long,
-            is_holdable=is_holdable,
-            demand_ratio=demand_ratio,
+            is_holdable=hints.is_holdable,
+            is_trusted=hints.is_trusted,
         )
         self.outbox.put(item)
 
@@ -178,7 +186,6 @@
 
     def _end(self) -> None:
         self._link = None
-        self.granted = False
         self.demand_told = 0
         log_event("agent_disconnected", worker=self.worker, in_doubt=len(self.flights))
         self._give_back(self.outbox.take())
@@ -217,10 +224,11 @@
         self._free = frame.free
         self._free_long = frame.free_long
         self._assigns_seen = frame.assigns_seen
-        self.granted = frame.is_granted
-        if frame.is_granted:
-            self.demand_told = max(0, self.demand_told - 1)
         self._note_backend(frame)
+        for customer, total_per_s in frame.customer_demands.items():
+            self._entry.dispatcher.quotas.learn_total(
+                customer, self.worker, total_per_s, self.heard_s
+            )
         self.config_version = frame.config_version
         self._config_push.known_version = frame.config_version
         for item in frame.items:
@@ -230,12 +238,6 @@
                 case ConfigUpdate():
                     self._entry.adopt(item.version, unpack(item), "agent")
         self._entry.dispatcher.pump(self.service)
-        if self.granted:
-            # What the slot was wanted for has found another meanwhile.
-            self.granted = False
-            self._is_grant_returned = True
-            self._entry.counters.add("grants_unused")
-            self.outbox.poke()
 
     def _note_backend(self, frame: AgentFrame) -> None:
         self.slots = frame.slots
@@ -267,17 +269,17 @@
         lane = self._entry.dispatcher.lane(self.service)
         now_s = trio.current_time()
         precedence, due_s = lane.queue.most_urgent()
+        demands, self.customer_demands = self.customer_demands, {}
         demand, demand_long = lane.demand_at(self, now_s)
         self.note_demand(demand + demand_long, now_s)
-        is_grant_returned, self._is_grant_returned = self._is_grant_returned, False
         return EntryFrame(
             basis_s=self._clock_s + now_s - self.heard_s,
             demand=demand,
             demand_long=demand_long,
-            is_grant_returned=is_grant_returned,
             precedence=precedence,
             due_in_s=due_s - now_s,
             quarantined_share=lane.quarantined_share(),
             config_version=self._entry.configuration.version,
+            customer_demands=demands,
             items=items,
         )
--- a/gooseberrylink/peers/entry_peer.py
+++ b/gooseberrylink/peers/entry_peer.py
@@ -38,6 +38,7 @@
         address: Where the entry takes links.
         incarnation: The entry's random id; "" before its first hello.
         running: Tasks of this entry that are running here.
+        customer_demands: Totals that the next frame tells the entry.
         unacknowledged: Assignments whose results the entry may not have.
     """
 
@@ -50,6 +51,7 @@
         self.unacknowledged: set[str] = set()
         self.outbox = Outbox()
         self.quarantined_share = 0.0
+        self.customer_demands: dict[str, float] = {}
         self._link: Link | None = None
         self._assigns_seen = 0
         self._config_push: ConfigPush | None = None
@@ -80,6 +82,7 @@
             link.close()
             return False
         self._link = link
+        self._agent.entry_connected(self)
         settings = self._agent.settings
         heartbeat = Heartbeat(settings, self.outbox, self._is_busy)
         try:
@@ -161,16 +164,18 @@
     def _next_frame(self, items: list) -> AgentFrame:
         agent = self._agent
         now_s = trio.current_time()
+        demands, self.customer_demands = self.customer_demands, {}
         ledger = agent.ledger
+        free = ledger.credits_of(self.incarnation)
         return AgentFrame(
             clock_s=now_s,
-            free=ledger.free_for(self.incarnation, now_s),
-            free_long=ledger.free_long_for(self.incarnation, now_s),
+            free=free,
+            free_long=min(free, ledger.idle_long(now_s)),
             assigns_seen=self._assigns_seen,
-            is_granted=ledger.has_grant(self.incarnation, now_s),
             slots=ledger.slots,
             service=agent.service,
             is_quarantined=agent.failures.is_quarantined,
             config_version=agent.configuration.version,
+            customer_demands=demands,
             items=items,
         )
--- a/gooseberrylink/peers/messages.py
+++ b/gooseberrylink/peers/messages.py
@@ -60,8 +60,8 @@
             agent refused may come back to it under another id.
         remaining_s: Time left until the task may no longer be started.
         is_holdable: Whether the agent may queue it when no slot is free.
-        demand_ratio: Tasks that the customer asked of the entry lately, for
-            each task that its quota admitted.
+        is_trusted: Whether most of the customer's jobs end well elsewhere, so
+            that a failure speaks against the backend server.
     """
 
     assignment_id: str
@@ -72,7 +72,7 @@
     remaining_s: float
     is_long: bool = False
     is_holdable: bool = False
-    demand_ratio: float = 1.0
+    is_trusted: bool = False
 
 
 class Revoke(msgspec.Struct, tag="r", array_like=True):
@@ -93,8 +93,6 @@
     Attributes:
         reason: Short snake_case reason for refusals and failures.
         run_s: Run time at the backend server, in seconds.
-        demand_for_each_own: The customer's demand at this agent over all
-            entries, for each unit of this entry's; 0 if unknown.
     """
 
     assignment_id: str
@@ -102,7 +100,6 @@
     value: Any = None
     reason: str = ""
     run_s: float = 0.0
-    demand_for_each_own: float = 0.0
 
 
 class ConfigUpdate(msgspec.Struct, tag="c", array_like=True):
@@ -124,20 +121,21 @@
             later than the true value. Grounds the lease of held tasks.
         demand: How many more slots the entry would use here for short tasks.
         demand_long: How many more it would use here for long tasks.
-        is_grant_returned: Whether the entry has no use for its reserved slot.
         precedence: Precedence of the first task in the entry's queue.
         due_in_s: When that task is due, from now; infinite without a queue.
         quarantined_share: Share of the service's agents in quarantine.
+        customer_demands: Demand at this entry, in tasks a second, of customers
+            close to their quota that this agent adds up.
     """
 
     basis_s: float
     demand: int = 0
     demand_long: int = 0
-    is_grant_returned: bool = False
     precedence: int = 0
     due_in_s: float = math.inf
     quarantined_share: float = 0.0
     config_version: int = 0
+    customer_demands: dict[str, float] = {}
     items: list[Assign | Revoke | Ack | ConfigUpdate] = []
 
 
@@ -149,21 +147,22 @@
         free: Slots that this entry may use now.
         free_long: Slots that this entry may use now for long tasks.
         assigns_seen: How many Assign items arrived on this link so far.
-        is_granted: Whether a slot is reserved for this entry.
         slots: Slots of the backend server; 0 if there is none or it is leaving.
         service: Service of the backend server; it may change with the server.
         is_quarantined: Whether the agent takes only single probe tasks.
+        customer_demands: Demand over all entries, in tasks a second, of the
+            customers that this entry told of.
     """
 
     clock_s: float
     free: int
     free_long: int
     assigns_seen: int
-    is_granted: bool = False
     slots: int = 0
     service: str = ""
     is_quarantined: bool = False
     config_version: int = 0
+    customer_demands: dict[str, float] = {}
     items: list[Result | ConfigUpdate] = []
 
 
--- a/gooseberrylink/quotas.py
+++ b/gooseberrylink/quotas.py
@@ -1,13 +1,15 @@
 """Keeps customers within quotas that hold over all entries."""
 
 import dataclasses
+import math
 
 from gooseberrylink.operators.declarations import Customer
 
-_RATE_TIME_S = 2.0
-_SHARE_LEARNING_RATE = 0.05
-_MIN_SHARE_OF_EVEN = 0.25
-_MAX_DEMAND_RATIO = 20.0
+_RATE_HALF_LIFE_S = 1.0
+_TOTAL_VALID_S = 3.0
+_MIN_SHARE_OF_EVEN = 0.1
+_NEAR_LIMIT = 0.5
+_MIN_PAUSE_S = 0.05
 
 
 @dataclasses.dataclass(slots=True)
@@ -15,26 +17,50 @@
     """How one customer uses this entry.
 
     Attributes:
-        inverse_share: Demand over all entries, for each unit of ours.
+        customer: The customer, with its quota.
+        entries: Number of entries known.
         tokens: Starts that may be admitted at once.
-        asked: Recent tasks asked for, fading.
-        admitted: Recent tasks admitted, fading.
         updated_s: Time of the last update.
+        asked: Tasks asked for, fading.
+        totals: Demand over all entries by the agent that told it, with the
+            time at which it did.
     """
 
-    inverse_share: float
+    customer: Customer
+    entries: int
     tokens: float
     updated_s: float
     asked: float = 0.0
-    admitted: float = 0.0
+    totals: dict[str, tuple[float, float]] = dataclasses.field(default_factory=dict)
+
+    def asked_per_s(self) -> float:
+        """Recent demand at this entry, in tasks a second."""
+        return self.asked * math.log(2) / _RATE_HALF_LIFE_S
+
+    def total_per_s(self, now_s: float) -> float:
+        """Recent demand over all entries; 0 if unknown."""
+        fresh = [t for t, at_s in self.totals.values() if now_s - at_s < _TOTAL_VALID_S]
+        return max(fresh, default=0.0)
+
+    def share(self, now_s: float) -> float:
+        """This entry's share of the demand; even shares while unknown."""
+        total_per_s = self.total_per_s(now_s)
+        if total_per_s <= 0:
+            return 1.0 / self.entries
+        least = _MIN_SHARE_OF_EVEN / self.entries
+        return min(1.0, max(least, self.asked_per_s() / total_per_s))
+
+    def rate_per_s(self, now_s: float) -> float:
+        """Starts a second that this entry may admit."""
+        return self.customer.quota_starts_per_s * self.share(now_s)
 
 
 class Quotas:
     """Token buckets of one entry, each filled at its share of the quota.
 
-    The share follows the entry's share of the customer's demand, which agents
-    report on results. It is counted in demand and not in admitted starts, or
-    an entry whose demand rises could never gain on the others.
+    The share follows what customers ask of each entry, admitted or not: were
+    it to follow admitted starts, an entry whose demand rises could never gain
+    on the others.
     """
 
     def __init__(self):
@@ -48,7 +74,7 @@
         Args:
             customer: The customer, with its quota.
             tasks: Tasks of the job.
-            entries: Number of entries known, for a first guess of the share.
+            entries: Number of entries known.
             now_s: Time on the entry's clock.
 
         Returns:
@@ -57,58 +83,50 @@
         if customer.quota_starts_per_s is None:
             return None
         usage = self._usage(customer, entries, now_s)
-        rate_per_s = self._rate_per_s(customer, usage, entries)
-        # A job larger than a whole burst must still get in now and then.
-        burst = rate_per_s * customer.burst_s
-        self._refill(usage, rate_per_s, burst, now_s)
+        self._advance(usage, now_s)
         usage.asked += tasks
+        rate_per_s = usage.rate_per_s(now_s)
+        burst = rate_per_s * customer.burst_s
+        # A job larger than a whole burst must still get in now and then.
         needed = min(tasks, burst)
         if usage.tokens < needed:
-            return max(0.05, (needed - usage.tokens) / rate_per_s)
+            return max(_MIN_PAUSE_S, (needed - usage.tokens) / rate_per_s)
         usage.tokens -= tasks
-        usage.admitted += tasks
         return None
 
-    def demand_ratio(self, customer: str) -> float:
-        """Returns tasks asked for, for each task admitted; at least 1."""
-        usage = self._usages.get(customer)
-        if usage is None or usage.admitted <= 0:
-            return 1.0
-        return min(_MAX_DEMAND_RATIO, max(1.0, usage.asked / usage.admitted))
-
-    def learn_share(self, customer: str, demand_for_each_own: float) -> None:
-        """Learns from a result how this entry's share compares."""
-        usage = self._usages.get(customer)
-        if usage is None or demand_for_each_own < 1.0:
-            return
-        change = demand_for_each_own - usage.inverse_share
-        usage.inverse_share += _SHARE_LEARNING_RATE * change
-
-    def share(self, customer: str) -> float:
-        """Returns this entry's share of a customer's demand; 1 if unknown."""
+    def near_limit(self, now_s: float) -> dict[str, float]:
+        """Returns demand in tasks a second of customers close to their quota."""
+        demands = {}
+        for name, usage in self._usages.items():
+            self._advance(usage, now_s)
+            asked_per_s = usage.asked_per_s()
+            if asked_per_s > _NEAR_LIMIT * usage.rate_per_s(now_s):
+                demands[name] = asked_per_s
+        return demands
+
+    def learn_total(
+        self, customer: str, worker: str, total_per_s: float, now_s: float
+    ) -> None:
+        """Notes the demand over all entries, as an agent told it."""
         usage = self._usages.get(customer)
-        return 1.0 / usage.inverse_share if usage else 1.0
+        if usage is not None:
+            usage.totals[worker] = (total_per_s, now_s)
 
     def _usage(self, customer: Customer, entries: int, now_s: float) -> _Usage:
         usage = self._usages.get(customer.name)
         if usage is None:
-            tokens = customer.quota_starts_per_s * customer.burst_s / max(1, entries)
-            usage = _Usage(float(max(1, entries)), tokens, now_s)
+            tokens = customer.quota_starts_per_s * customer.burst_s / entries
+            usage = _Usage(customer, entries, tokens, now_s)
             self._usages[customer.name] = usage
+        usage.customer = customer
+        usage.entries = max(1, entries)
         return usage
 
-    def _rate_per_s(self, customer: Customer, usage: _Usage, entries: int) -> float:
-        # The floor keeps a trickle going by which a rising demand is seen.
-        floor = _MIN_SHARE_OF_EVEN / max(1, entries)
-        share = max(floor, 1.0 / usage.inverse_share)
-        return customer.quota_starts_per_s * share
-
-    def _refill(
-        self, usage: _Usage, rate_per_s: float, burst: float, now_s: float
-    ) -> None:
+    def _advance(self, usage: _Usage, now_s: float) -> None:
+        """Lets demand fade and tokens build up until now."""
         elapsed_s = now_s - usage.updated_s
         usage.updated_s = now_s
+        usage.asked *= 0.5 ** (elapsed_s / _RATE_HALF_LIFE_S)
+        rate_per_s = usage.rate_per_s(now_s)
+        burst = rate_per_s * usage.customer.burst_s
         usage.tokens = min(burst, usage.tokens + elapsed_s * rate_per_s)
-        fade = 0.5 ** (elapsed_s / _RATE_TIME_S)
-        usage.asked *= fade
-        usage.admitted *= fade
--- a/gooseberrylink/rendezvous.py
+++ b/gooseberrylink/rendezvous.py
@@ -1,22 +1,22 @@
-"""Chooses the entries of an agent by highest random weight."""
+"""Chooses among names by highest random weight."""
 
 import hashlib
 from collections.abc import Iterable
 
 
-def choose_entries(worker: str, addresses: Iterable[str], count: int) -> list[str]:
-    """Returns the addresses with the highest weight for this worker.
+def choose_by_weight(key: str, names: Iterable[str], count: int) -> list[str]:
+    """Returns the names with the highest weight for this key.
 
-    Every process computes the same choice, and a change of the set of entries
-    moves only the links that it must.
+    Every process computes the same choice, and a change of the set of names
+    moves only what it must.
 
     Args:
-        worker: Name of the worker.
-        addresses: Known entries.
+        key: What the choice is made for.
+        names: What is chosen from.
         count: How many to choose.
     """
 
-    def weight(address: str) -> bytes:
-        return hashlib.blake2b(f"{worker}|{address}".encode(), digest_size=8).digest()
+    def weight(name: str) -> bytes:
+        return hashlib.blake2b(f"{key}|{name}".encode(), digest_size=8).digest()
 
-    return sorted(addresses, key=weight, reverse=True)[:count]
+    return sorted(names, key=weight, reverse=True)[:count]
--- a/gooseberrylink/routing.py
+++ b/gooseberrylink/routing.py
@@ -107,8 +107,6 @@
 
     def _score(self, peer: AgentPeer, free: int, now_s: float) -> float:
         score = self._runtimes.speed(peer.worker) * self._affinity(peer.worker)
-        if peer.granted:
-            score *= 2.0
         if peer.data_centre == self._data_centre:
             score *= _LOCAL_BONUS
         if now_s - peer.heard_s > _FRESH_S and free < 2:
--- a/gooseberrylink/slots.py
+++ b/gooseberrylink/slots.py
@@ -7,166 +7,207 @@
 
 _SHORT_RESERVE_MAX = 3
 _SHORT_BUSY_DECAY_S = 2.0
+_PRESSING_S = 0.5
 
 
 @dataclasses.dataclass(slots=True)
-class EntryDemand:
-    """What an entry last said of its queue.
+class EntryShare:
+    """What one entry has of the slots, and wants.
 
     Attributes:
-        demand: Slots that the entry still wants here for short tasks.
+        credits: Idle slots that the entry may use without asking.
+        demand: Slots that it still wants here for short tasks.
         demand_long: Slots that it still wants here for long tasks.
         precedence: Precedence of the first task in its queue.
         due_s: When that task is due, on the agent's clock.
         stated_s: When it said so, on the agent's clock.
-        grant_ends_s: When the slot reserved for it is free again; 0 if none.
     """
 
+    credits: int = 0
     demand: int = 0
     demand_long: int = 0
     precedence: int = 0
     due_s: float = math.inf
-    stated_s: float = 0.0
-    grant_ends_s: float = 0.0
+    stated_s: float = -math.inf
 
 
 class SlotLedger:
-    """Counts the slots in use and decides which entry gets a freed one.
+    """Counts the slots in use and says which entry may use the idle ones.
 
-    A freed slot goes to the entry whose task ended, unless the first task in
-    another entry's queue is markedly more urgent. Then the slot is reserved
-    for that entry for a short time. So the queues of all entries are served
-    nearly as one, in order of urgency.
+    Every idle slot is credited to one entry. Were each entry told of every
+    idle slot, several would send tasks to the same one, and all but one would
+    be refused. A task's end returns the credit to the entry that it came from,
+    with the result, unless the first task in another entry's queue is markedly
+    more urgent. An entry that runs out of credits asks, and takes idle ones
+    from the entry that has most of them.
+
+    Credits only steer; what arrives is started while any slot is idle.
 
     Long tasks never take the last few slots, as long as short tasks come by.
 
     Attributes:
         slots: Slots of the backend server.
+        limit: Slots that may be in use just now.
         running: Slots in use.
         running_long: Slots in use by long tasks, overruns included.
     """
 
-    def __init__(self, grant_s: float, demand_valid_s: float, grant_margin_s: float):
-        self._grant_s = grant_s
+    def __init__(self, demand_valid_s: float, grant_margin_s: float):
         self._demand_valid_s = demand_valid_s
         self._grant_margin_s = grant_margin_s
         self.slots = 0
         self.limit = 0
         self.running = 0
         self.running_long = 0
-        self._entries: dict[str, EntryDemand] = {}
+        self._entries: dict[str, EntryShare] = {}
         self._short_busy = 0.0
         self._short_busy_s = 0.0
 
-    def state_demand(self, entry: str, frame: EntryFrame, now_s: float) -> None:
-        """Notes what an entry says of its queue."""
-        state = self._entries.setdefault(entry, EntryDemand())
-        state.demand = frame.demand
-        state.demand_long = frame.demand_long
-        state.precedence = frame.precedence
-        state.due_s = now_s + frame.due_in_s
-        state.stated_s = now_s
-        if frame.is_grant_returned:
-            state.grant_ends_s = 0.0
-
-    def has_room_for(self, entry: str, now_s: float) -> bool:
-        """Says whether a slot is free for what the entry wants here."""
-        state = self._entries.get(entry)
-        if state is None:
-            return False
-        if state.demand > 0 and self.free_for(entry, now_s) > 0:
-            return True
-        return state.demand_long > 0 and self.free_long_for(entry, now_s) > 0
+    def resize(self, slots: int) -> None:
+        """Sets the number of slots and deals the idle ones out anew."""
+        self.slots = self.limit = slots
+        self._deal()
+
+    def add_entry(self, entry: str) -> None:
+        """Gives an entry its part of the idle slots."""
+        self._entries[entry] = EntryShare()
+        self._deal()
 
     def remove_entry(self, entry: str) -> None:
-        """Frees what was reserved for an entry that is gone."""
+        """Gives the credits of an entry that is gone to the others."""
         self._entries.pop(entry, None)
+        self._deal()
 
-    def free_for(self, entry: str, now_s: float) -> int:
-        """Returns how many slots an entry may use now."""
-        reserved = sum(
-            state.grant_ends_s > now_s
-            for name, state in self._entries.items()
-            if name != entry
-        )
-        return max(0, min(self.slots, self.limit) - self.running - reserved)
-
-    def free_long_for(self, entry: str, now_s: float) -> int:
-        """Returns how many slots an entry may use now for long tasks."""
+    def state_demand(self, entry: str, frame: EntryFrame, now_s: float) -> None:
+        """Notes what an entry says of its queue."""
+        share = self._entries.setdefault(entry, EntryShare())
+        share.demand = frame.demand
+        share.demand_long = frame.demand_long
+        share.precedence = frame.precedence
+        share.due_s = now_s + frame.due_in_s
+        share.stated_s = now_s
+
+    def idle(self) -> int:
+        """Returns how many more tasks may be started now."""
+        return max(0, min(self.slots, self.limit) - self.running)
+
+    def idle_long(self, now_s: float) -> int:
+        """Returns how many more long tasks may be started now."""
         room = self.slots - self._short_reserve(now_s) - self.running_long
-        return max(0, min(self.free_for(entry, now_s), room))
+        return max(0, min(self.idle(), room))
+
+    def credits_of(self, entry: str) -> int:
+        """Returns how many slots to tell an entry of."""
+        share = self._entries.get(entry)
+        return min(self.idle(), share.credits) if share else 0
 
     def start(self, entry: str, is_long: bool, now_s: float) -> None:
-        """Takes a slot for a task of an entry, and its grant if it has one."""
+        """Takes a slot for a task of an entry."""
         self._note_short_busy(now_s)
         self.running += 1
         self.running_long += is_long
-        state = self._entries.get(entry)
-        if state is not None:
-            state.grant_ends_s = 0.0
+        share = self._entries.get(entry)
+        if share is not None and share.credits > 0:
+            share.credits -= 1
+        elif self._unowned() < 0:
+            self._take_credit(entry)
 
     def overrun(self, now_s: float) -> None:
         """Counts a running short task as long from now on."""
         self._note_short_busy(now_s)
         self.running_long += 1
 
-    def end(self, is_long: bool, now_s: float) -> None:
-        """Gives back the slot of a task that ended."""
+    def end(self, owner: str, is_long: bool, now_s: float) -> str | None:
+        """Gives back the slot of a task of an entry.
+
+        Returns:
+            The other entry that has the credit now; None if the owner has it.
+        """
         self._note_short_busy(now_s)
         self.running -= 1
         self.running_long -= is_long
+        if self._unowned() <= 0:
+            return None
+        other = self._more_urgent(owner, now_s)
+        receiver = self._entries.get(other or owner)
+        if receiver is not None:
+            receiver.credits += 1
+        if other is not None:
+            self._reduce_demand(receiver)
+        return other
 
-    def grant_freed_slot(self, owner: str, now_s: float) -> str | None:
-        """Chooses who gets a slot that the owner's task just left.
+    def meet_demand(self, entry: str, now_s: float) -> bool:
+        """Moves idle credits to an entry that has asked for them.
 
         Returns:
-            The entry that the slot is now reserved for, or None if the slot
-            stays open to all, first of all to the owner.
+            Whether it got any.
         """
-        if self.free_for("", now_s) <= 0:
-            return None
-        best = None
-        best_urgency = self._urgency(owner, now_s, self._grant_margin_s)
-        for name, state in self._entries.items():
-            if name == owner or state.grant_ends_s > now_s:
+        share = self._entries.get(entry)
+        if share is None:
+            return False
+        wanted = share.demand + min(share.demand_long, self.idle_long(now_s))
+        wanted = min(wanted, self.idle()) - share.credits
+        moved = 0
+        while moved < wanted and (self._unowned() > 0 or self._take_credit(entry)):
+            share.credits += 1
+            moved += 1
+        for _ in range(moved):
+            self._reduce_demand(share)
+        return moved > 0
+
+    def _unowned(self) -> int:
+        credits = sum(share.credits for share in self._entries.values())
+        return self.slots - self.running - credits
+
+    def _deal(self) -> None:
+        """Deals all idle slots out evenly."""
+        for share in self._entries.values():
+            share.credits = 0
+        shares = list(self._entries.values())
+        for number in range(max(0, self.slots - self.running) if shares else 0):
+            shares[number % len(shares)].credits += 1
+
+    def _take_credit(self, entry: str) -> bool:
+        """Takes a credit from the entry that has most, but not from this one.
+
+        That entry hears of it with its next frame. Should it use the credit
+        before, the task is started or refused by what is idle then.
+        """
+        others = [share for name, share in self._entries.items() if name != entry]
+        richest = max(others, key=lambda share: share.credits, default=None)
+        if richest is None or richest.credits <= 0:
+            return False
+        richest.credits -= 1
+        return True
+
+    def _more_urgent(self, owner: str, now_s: float) -> str | None:
+        best, best_urgency = None, self._urgency(owner, now_s)
+        if math.isfinite(best_urgency[1]):
+            # Both have a queue. A message is worth it only for a task that
+            # would be late otherwise.
+            soon_s = min(best_urgency[1], now_s + _PRESSING_S) - self._grant_margin_s
+            best_urgency = best_urgency[0], soon_s
+        for name, share in self._entries.items():
+            wants_long = share.demand_long > 0 and self.idle_long(now_s) > 0
+            if name == owner or not (share.demand > 0 or wants_long):
                 continue
             urgency = self._urgency(name, now_s)
-            is_pressing = urgency[1] < now_s + 0.3 or not math.isfinite(best_urgency[1])
-            if (
-                is_pressing
-                and urgency < best_urgency
-                and self.has_room_for(name, now_s)
-            ):
+            if urgency < best_urgency:
                 best, best_urgency = name, urgency
-        if best is None:
-            return None
-        state = self._entries[best]
-        if state.demand > 0:
-            state.demand -= 1
-        else:
-            state.demand_long -= 1
-        state.grant_ends_s = now_s + self._grant_s
         return best
 
-    def has_grant(self, entry: str, now_s: float) -> bool:
-        """Says whether a slot is reserved for the entry."""
-        state = self._entries.get(entry)
-        return state is not None and state.grant_ends_s > now_s
-
-    def _urgency(
-        self, entry: str, now_s: float, margin_s: float = 0.0
-    ) -> tuple[int, float]:
-        """Returns a key that is lower for more urgent queues.
-
-        Args:
-            entry: Incarnation of the entry.
-            now_s: The agent's clock.
-            margin_s: Time by which the entry counts as more urgent than it is.
-        """
-        state = self._entries.get(entry)
-        if state is None or now_s - state.stated_s > self._demand_valid_s:
+    def _urgency(self, entry: str, now_s: float) -> tuple[int, float]:
+        """Returns a key that is lower for more urgent queues."""
+        share = self._entries.get(entry)
+        if share is None or now_s - share.stated_s > self._demand_valid_s:
             return 0, math.inf
-        return -state.precedence, state.due_s - margin_s
+        return -share.precedence, share.due_s
+
+    def _reduce_demand(self, share: EntryShare) -> None:
+        if share.demand > 0:
+            share.demand -= 1
+        elif share.demand_long > 0:
+            share.demand_long -= 1
 
     def _short_reserve(self, now_s: float) -> int:
         """Slots kept from long tasks: as many as short tasks used lately."""
--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,111 @@
+"""Black-hole workers are quarantined, and poison jobs are not their fault."""
+
+import pytest
+import trio
+
+from gooseberrylink.codes import Code
+from gooseberrylink.failures import Failure, FailurePolicy, FailureWatch
+from gooseberrylink.standins.backend import FakeBackend
+from gooseberrylink.types import TaskSpec
+
+
+@pytest.fixture
+def watch() -> FailureWatch:
+    watch = FailureWatch(FailurePolicy())
+    watch.succeeded(started_s=0.0)
+    return watch
+
+
+def test_new_server_starts_slowly():
+    watch = FailureWatch(FailurePolicy())
+    assert watch.slot_limit(8, 0.0) == 2
+    watch.succeeded(started_s=0.0)
+    assert watch.slot_limit(8, 0.0) == 8
+
+
+def test_failures_of_several_customers_begin_a_quarantine(watch):
+    began = [watch.failed(Failure(customer, "j1"), 1.0) for customer in ("a", "b", "a")]
+    assert began == [False, False, True]
+    assert watch.slot_limit(8, 2.0) == 0
+    assert watch.slot_limit(8, 6.1) == 1
+
+
+def test_failures_of_one_customer_are_the_jobs_fault(watch):
+    assert not any(watch.failed(Failure("a", "j1"), 1.0) for _ in range(20))
+    assert watch.slot_limit(8, 1.0) == 1
+    watch.succeeded(started_s=2.0)
+    assert watch.slot_limit(8, 2.0) == 8
+
+
+def test_success_of_a_task_from_before_the_failures_clears_nothing(watch):
+    # Cause: tasks that had started before a server went bad ended well one by
+    # one, and each wiped out the evidence; 19 tasks failed instead of 3.
+    for customer in ("a", "b"):
+        watch.failed(Failure(customer, "j1"), 5.0)
+        watch.succeeded(started_s=4.0)
+    assert watch.failed(Failure("a", "j1"), 5.0)
+
+
+def test_probation_doubles_and_ends_after_successes(watch):
+    for customer in ("a", "b", "a"):
+        watch.failed(Failure(customer, "j1"), 0.0)
+    watch.failed(Failure("a", "j1"), 5.5)
+    assert watch.slot_limit(8, 15.0) == 0
+    for started_s in (16.0, 17.0):
+        watch.succeeded(started_s)
+    assert watch.slot_limit(8, 18.0) == 8
+
+
+def test_no_quarantine_when_many_workers_are_in_one(watch):
+    watch.quarantined_share = 0.5
+    assert not any(watch.failed(Failure(customer, "j1"), 1.0) for customer in "abcabc")
+
+
+def test_black_hole_costs_three_tasks_over_all_entries(run_deployment, make_job):
+    async def test(deployment):
+        for name in ("entry-1", "entry-2", "entry-3"):
+            await deployment.add_entry(name)
+        hole = FakeBackend("tank-1")
+        await deployment.add_agent("tank-1", backend=hole)
+        for worker in ("tank-2", "tank-3", "tank-4"):
+            await deployment.add_agent(worker)
+        await deployment.wait_connected()
+        answers = []
+
+        async def submit(entry, customer):
+            answers.append(await entry.submit(make_job(0.2, 0.2, customer=customer)))
+
+        async with trio.open_nursery() as nursery:
+            for number in range(150):
+                hole.is_failing = number >= 50
+                entry = deployment.entries[number % 3]
+                customer = ("shops", "drivers", "restaurants")[number // 3 % 3]
+                nursery.start_soon(submit, entry, customer)
+                await trio.sleep(0.05)
+        assert deployment.agents["tank-1"].failures.is_quarantined
+        assert 1 <= hole.failing_starts <= 3
+        assert [answer.code for answer in answers].count(Code.OK) >= 147
+
+    run_deployment(test)
+
+
+def test_server_that_fails_one_trusted_customer_is_blamed(watch):
+    failures = [Failure("a", f"j{number}", is_trusted=True) for number in range(3)]
+    assert [watch.failed(f, 1.0) for f in failures] == [False, False, True]
+
+
+def test_job_that_fails_everywhere_quarantines_nobody(run_deployment, make_job):
+    async def test(deployment):
+        entry = await deployment.add_entry("entry-1")
+        for number in range(1, 5):
+            await deployment.add_agent(f"tank-{number}")
+        await deployment.wait_connected()
+        for _ in range(30):
+            poison = make_job(0.1)
+            poison.tasks = [TaskSpec({"run_s": 0.05, "fail": True})] * 10
+            assert (await entry.submit(poison)).code is Code.TASK_FAILED
+            good = make_job(0.1, 0.1, customer="drivers")
+            assert (await entry.submit(good)).code is Code.OK
+        assert not any(a.failures.is_quarantined for a in deployment.agents.values())
+
+    run_deployment(test)
