--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -35,6 +35,7 @@
 from gooseberrylink.slots import SlotLedger
 
 _JANITOR_TICK_S = 0.2
+_IDLE_JANITOR_TICK_S = 1.0
 _DRAIN_TICK_S = 0.05
 
 
@@ -382,7 +383,8 @@
 
     async def _run_janitor(self) -> None:
         while True:
-            await trio.sleep(_JANITOR_TICK_S)
+            is_busy = self._running or self._held or self.failures.is_quarantined
+            await trio.sleep(_JANITOR_TICK_S if is_busy else _IDLE_JANITOR_TICK_S)
             now_s = trio.current_time()
             self._update_limit()
             self._note_overruns(now_s)
--- a/gooseberrylink/bench/runs.py
+++ b/gooseberrylink/bench/runs.py
@@ -30,6 +30,7 @@
     for scenario in (
         Scenario("half-load", 0.5),
         Scenario("busy", 0.85),
+        Scenario("capacity", 1.0),
         Scenario("overload", 1.5),
         Scenario("uneven-entries", 0.85, entry_weights=(0.8, 0.15, 0.05)),
         Scenario("one-entry", 0.85, entry_weights=(1.0,)),
--- a/gooseberrylink/commands/configuration.py
+++ b/gooseberrylink/commands/configuration.py
@@ -12,7 +12,7 @@
 from gooseberrylink.commands.exit_codes import Exit
 from gooseberrylink.counters import Counters
 from gooseberrylink.exceptions import ConfigError
-from gooseberrylink.operators.declarations import Declarations
+from gooseberrylink.operators.declarations import to_canonical
 from gooseberrylink.operators.http import UnreachableError, call_entry
 from gooseberrylink.operators.store import (
     ApplyResult,
@@ -20,7 +20,6 @@
     ConfigurationStore,
 )
 from gooseberrylink.platform.client import HttpPlatform
-from gooseberrylink.yaml_file import parse_model
 
 _EXITS = {
     ApplyStatus.ACCEPTED: Exit.OK,
@@ -135,11 +134,11 @@
 
 
 def _read_checked(name: str) -> tuple[str, list[str]]:
+    """Returns the declarations in canonical form, or the faults."""
     try:
         text = pathlib.Path(name).read_text(encoding="utf-8")
-        parse_model(text, name, Declarations)
+        return to_canonical(text, name), []
     except (OSError, UnicodeDecodeError) as error:
         return "", [f"{name}: can't be read: {error}"]
     except ConfigError as error:
         return "", error.faults
-    return text, []
--- a/gooseberrylink/config.py
+++ b/gooseberrylink/config.py
@@ -71,7 +71,7 @@
     announcement_valid_s: Seconds = 3.0
     run_timeout_s: Seconds = 300.0
     grant_margin_s: float = Field(default=0.5, ge=0)
-    failures_in_row: int = Field(default=3, ge=1)
+    quarantine_jobs: int = Field(default=3, ge=1)
     quarantine_customers: int = Field(default=2, ge=1)
     probation_s: Seconds = 5.0
     max_quarantined_share: float = Field(default=0.34, ge=0, le=1)
@@ -79,7 +79,7 @@
     def failure_policy(self) -> FailurePolicy:
         """Returns the part of the settings that governs quarantine."""
         return FailurePolicy(
-            failures_in_row=self.failures_in_row,
+            jobs_in_row=self.quarantine_jobs,
             distinct_customers=self.quarantine_customers,
             probation_s=self.probation_s,
             max_quarantined_share=self.max_quarantined_share,
--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -25,6 +25,7 @@
 _RETRY_PAUSE_S = 0.05
 _INFEASIBLE_SPEED = 2.0
 _ASK_TICK_S = 0.05
+_PRESSING_S = 1.0
 
 
 class Dispatcher:
@@ -276,9 +277,14 @@
             self._ask_peers(lane)
 
     def _ask_for_slots(self) -> None:
-        """Tells agents of queues that have stood for a while."""
+        """Tells agents of queues that stand and whose first task is due soon.
+
+        Other queues can wait for the slots that come back with results.
+        """
+        now_s = trio.current_time()
         for lane in self._lanes.values():
-            if len(lane.queue) and lane.was_queueing:
+            is_pressing = lane.queue.most_urgent()[1] < now_s + _PRESSING_S
+            if lane.was_queueing and is_pressing:
                 self._ask_peers(lane)
             lane.was_queueing = bool(len(lane.queue))
 
--- a/gooseberrylink/failures.py
+++ b/gooseberrylink/failures.py
@@ -11,10 +11,9 @@
     """When a run of failures is blamed on the backend server.
 
     Attributes:
-        failures_in_row: Failures without a success in between.
-        distinct_customers: Customers that these failures hit, or else
-        distinct_jobs: jobs of trusted customers that they hit. With fewer of
-            both, the job is blamed and not the backend server.
+        jobs_in_row: Jobs that failed here without a success in between.
+        distinct_customers: Customers of these jobs, unless all are trusted.
+            With fewer, the customer is blamed and not the backend server.
         probation_s: First time without any task; doubles with each failed probe.
         probation_max_s: Upper bound of that time.
         slow_start_slots: Slots that a new backend server may use before its
@@ -24,9 +23,8 @@
             further one goes into quarantine.
     """
 
-    failures_in_row: int = 3
+    jobs_in_row: int = 3
     distinct_customers: int = 2
-    distinct_jobs: int = 2
     probation_s: float = 5.0
     probation_max_s: float = 60.0
     slow_start_slots: int = 2
@@ -112,8 +110,7 @@
         if len(self._failures) < _MAX_REMEMBERED:
             self._failures.append(failure)
         is_blamed = (
-            len(self._failures) >= self._policy.failures_in_row
-            and self._is_servers_fault()
+            self._is_servers_fault()
             and self.quarantined_share < self._policy.max_quarantined_share
         )
         if is_blamed:
@@ -122,11 +119,16 @@
         return is_blamed
 
     def _is_servers_fault(self) -> bool:
+        # A job may have many tasks, and all of them fail if it is at fault.
+        if (
+            len({failure.job_id for failure in self._failures})
+            < self._policy.jobs_in_row
+        ):
+            return False
         customers = {failure.customer for failure in self._failures}
-        jobs = {failure.job_id for failure in self._failures if failure.is_trusted}
         if len(customers) >= self._policy.distinct_customers:
             return True
-        return len(jobs) >= self._policy.distinct_jobs
+        return all(failure.is_trusted for failure in self._failures)
 
     def reset(self) -> None:
         """Forgets all evidence, as for a new backend server."""
--- a/gooseberrylink/operators/configuration.py
+++ b/gooseberrylink/operators/configuration.py
@@ -1,8 +1,8 @@
 """Holds the configuration in force in one process; versions only rise."""
 
+import pydantic
 import trio
 
-from gooseberrylink.exceptions import ConfigError
 from gooseberrylink.logs import log_event
 from gooseberrylink.operators.declarations import (
     DEFAULT_LONG_AFTER_S,
@@ -10,7 +10,6 @@
     Declarations,
     Service,
 )
-from gooseberrylink.yaml_file import parse_model
 
 
 class Configuration:
@@ -18,7 +17,7 @@
 
     Attributes:
         version: Number given when it was accepted; 0 for none.
-        text: The declarations as YAML, to be handed on to peers.
+        text: The declarations in canonical form, to be handed on to peers.
         declarations: The same, parsed; None for none.
         adopted: Set anew whenever a version comes into force.
     """
@@ -36,7 +35,7 @@
 
         Args:
             version: Its number.
-            text: The declarations as YAML.
+            text: The declarations in canonical form.
             source: "platform", "entry", "agent" or "operator", for the log.
 
         Returns:
@@ -45,11 +44,13 @@
         if version <= self.version:
             return False
         try:
-            declarations = parse_model(text, f"version {version}", Declarations)
-        except ConfigError as error:
+            declarations = Declarations.model_validate_json(text)
+        except pydantic.ValidationError as error:
             # A newer release wrote fields that this one does not know. Going
             # on with the last version is better than stopping all work.
-            log_event("config_unreadable", "ERROR", version=version, error=error)
+            log_event(
+                "config_unreadable", "ERROR", version=version, error=error.error_count()
+            )
             return False
         self.version = version
         self.text = text
--- a/gooseberrylink/operators/declarations.py
+++ b/gooseberrylink/operators/declarations.py
@@ -6,7 +6,7 @@
 from pydantic import Field, model_validator
 
 from gooseberrylink.config import Name, Seconds
-from gooseberrylink.yaml_file import StrictModel
+from gooseberrylink.yaml_file import StrictModel, parse_model
 
 MAX_TASKS_PER_JOB = 140
 DEFAULT_LONG_AFTER_S = 1.0
@@ -152,6 +152,22 @@
         return sum(worker.service == service for worker in self.inventory.workers)
 
 
+def to_canonical(text: str, name: str) -> str:
+    """Returns checked declarations in the form in which processes exchange them.
+
+    Operators write YAML, which takes a second to parse at the size of 810
+    workers; processes exchange JSON, which takes some milliseconds.
+
+    Args:
+        text: Declarations as YAML.
+        name: Stands for the file in faults.
+
+    Raises:
+        ConfigError: With one line for each fault.
+    """
+    return parse_model(text, name, Declarations).model_dump_json(indent=1)
+
+
 def _twice(kind: str, names: list[str]) -> list[str]:
     counts = collections.Counter(names)
     return [f"{kind} {name} stands twice" for name, n in counts.items() if n > 1]
--- a/gooseberrylink/operators/store.py
+++ b/gooseberrylink/operators/store.py
@@ -83,7 +83,7 @@
         """Makes a text the configuration in force.
 
         Args:
-            text: Checked declarations as YAML.
+            text: Checked declarations in canonical form.
             apply_id: Random id of this attempt, by which a lost answer is
                 recognised when read back.
             base: Version that this change was made from; None for whichever
--- a/gooseberrylink/peers/messages.py
+++ b/gooseberrylink/peers/messages.py
@@ -106,7 +106,7 @@
     """Carries an accepted configuration to a peer that has an older one.
 
     Attributes:
-        packed: The declarations as YAML, compressed by zlib.
+        packed: The declarations in canonical form, compressed by zlib.
     """
 
     version: int
--- a/gooseberrylink/standins/deployment.py
+++ b/gooseberrylink/standins/deployment.py
@@ -9,6 +9,7 @@
 from gooseberrylink.backends.server import Announcement
 from gooseberrylink.config import AgentSettings, EntrySettings
 from gooseberrylink.entry import Entry
+from gooseberrylink.operators.declarations import to_canonical
 from gooseberrylink.operators.store import ConfigurationStore
 from gooseberrylink.peers.grpc_link import GrpcDialer, GrpcListener, GrpcThread
 from gooseberrylink.peers.link import Dialer
@@ -92,7 +93,8 @@
     async def configure(self, text: str) -> None:
         """Makes declarations the configuration in force."""
         store = ConfigurationStore(self.platform)
-        await store.apply(text, "setup", None, _APPLY_TIMEOUT_S)
+        canonical = to_canonical(text, "setup")
+        await store.apply(canonical, "setup", None, _APPLY_TIMEOUT_S)
 
     async def add_entry(self, name: str, **settings) -> Entry:
         """Starts an entry; settings go over the defaults."""
--- /dev/null
+++ b/lab/capacity.py
@@ -0,0 +1,284 @@
+"""Measures the slopes that docs/CAPACITY.md is worked out from.
+
+Each figure is the cost of one more of something, by a straight line through
+several sizes; r2 tells how well the line fits.
+"""
+
+import dataclasses
+import gc
+import pathlib
+import resource
+import statistics
+import time
+import tracemalloc
+import zlib
+
+import trio
+
+from gooseberrylink.claims import Claim, Claims
+from gooseberrylink.counters import Counters
+from gooseberrylink.gate import Gate
+from gooseberrylink.logs import configure_logs
+from gooseberrylink.operators.configuration import Configuration
+from gooseberrylink.operators.declarations import to_canonical
+from gooseberrylink.peers.grpc_link import GrpcThread
+from gooseberrylink.peers.messages import Assign, EntryFrame, encode
+from gooseberrylink.standins.backend import FakeBackend
+from gooseberrylink.standins.deployment import Deployment, GrpcNetwork
+from gooseberrylink.standins.platform import MemoryPlatform
+from gooseberrylink.types import JobRequest, TaskSpec
+
+_EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+_PAGE_BYTES = resource.getpagesize()
+_AGENTS = (5, 20, 60)
+_WORKERS = 810
+_CUSTOMERS = 92
+_IDLE_S = 6.0
+_CLAIM_LATENCY_S = 0.005
+
+
+@dataclasses.dataclass(frozen=True)
+class Slope:
+    """The cost of one more of something."""
+
+    name: str
+    per_unit: float
+    unit: str
+    r2: float
+    points: list[tuple[float, float]]
+
+
+def fit(name: str, unit: str, points: list[tuple[float, float]]) -> Slope:
+    """Fits a straight line through points of (size, cost)."""
+    xs, ys = zip(*points, strict=True)
+    line = statistics.linear_regression(xs, ys)
+    constant = len(set(ys)) == 1
+    r2 = 1.0 if constant else statistics.correlation(xs, ys) ** 2
+    return Slope(name, line.slope, unit, r2, points)
+
+
+def resident_bytes() -> int:
+    """Returns the resident memory of this process."""
+    pages = int(pathlib.Path("/proc/self/statm").read_text().split()[1])
+    return pages * _PAGE_BYTES
+
+
+def _traced_bytes() -> int:
+    return tracemalloc.get_traced_memory()[0]
+
+
+def make_job(tasks: int, run_s: float) -> JobRequest:
+    """Returns a job of equal tasks."""
+    specs = [TaskSpec({"run_s": run_s, "value": i}, 0.001) for i in range(tasks)]
+    return JobRequest("shops", "dispatch", specs, deadline_s=100.0)
+
+
+async def with_agents(agents: int, body):
+    """Runs one entry and some agents over gRPC on loopback."""
+    thread = GrpcThread()
+    async with trio.open_nursery() as nursery:
+        deployment = Deployment(nursery, GrpcNetwork(nursery, thread), "dispatch")
+        text = (_EXAMPLES / "bennani.yaml").read_text()
+        await deployment.configure(text.replace(", quota_starts_per_s: 400", ""))
+        await deployment.add_entry("entry-1")
+        for number in range(agents):
+            backend = FakeBackend(f"w-{number}")
+            await deployment.add_agent(f"w-{number}", 8, backend)
+        await deployment.wait_connected()
+        result = await body(deployment)
+        nursery.cancel_scope.cancel()
+    thread.stop()
+    return result
+
+
+async def measure_tasks(deployment) -> list[tuple[float, float]]:
+    """Returns (tasks, CPU seconds) of entry and agents together."""
+    entry = deployment.entries[0]
+    await entry.submit(make_job(140, 0.001))
+    points = []
+    for jobs in (5, 10, 20, 40):
+        began_s = time.process_time()
+        async with trio.open_nursery() as nursery:
+            for _ in range(jobs):
+                nursery.start_soon(entry.submit, make_job(140, 0.01))
+        points.append((140.0 * jobs, time.process_time() - began_s))
+    return points
+
+
+async def measure_idle(deployment) -> tuple[float, float, float]:
+    """Returns CPU seconds and frames of one idle second, and memory."""
+    entry = deployment.entries[0]
+    counters = [entry.counters, *(a.counters for a in deployment.agents.values())]
+
+    def frames() -> int:
+        return sum(sum(c.by_reason("frames_sent").values()) for c in counters)
+
+    await trio.sleep(1.0)
+    gc.collect()
+    began_s, sent = time.process_time(), frames()
+    await trio.sleep(_IDLE_S)
+    cpu_s = (time.process_time() - began_s) / _IDLE_S
+    return cpu_s, (frames() - sent) / _IDLE_S, float(resident_bytes())
+
+
+def slopes_of_agents() -> list[Slope]:
+    """Costs of one more idle agent; both ends of its link are in here."""
+    idle = {n: trio.run(with_agents, n, measure_idle) for n in _AGENTS}
+    names = ("idle CPU, both ends", "idle frames, both ends", "memory, both ends")
+    units = ("CPU s / s / link", "frames / s / link", "bytes / link")
+    return [
+        fit(name, unit, [(float(n), idle[n][i]) for n in _AGENTS])
+        for i, (name, unit) in enumerate(zip(names, units, strict=True))
+    ]
+
+
+def slope_of_tasks() -> Slope:
+    """CPU of one more task, entry and agent together, batched as it comes."""
+    points = trio.run(with_agents, 20, measure_tasks)
+    return fit("task, entry and agent", "CPU s / task", points)
+
+
+def slope_of_parts() -> list[Slope]:
+    """CPU of the entry's and the agent's own work on a task, without links."""
+    gate = Gate(2.0, 600.0, 1_000_000)
+    gate_points = []
+    gc.disable()
+    for count in (20_000, 40_000, 80_000):
+        began_s = time.process_time()
+        for number in range(count):
+            name = f"{count}-{number}"
+            assign = Assign(name, name, "job", "shops", None, 10.0)
+            gate.renew_lease("e", 1.0)
+            gate.start(gate.admit(assign, "e", 1.0, 1.0), 1.0)
+        gate_points.append((float(count), time.process_time() - began_s))
+    gc.enable()
+    return [fit("gate: admit and start", "CPU s / task", gate_points)]
+
+
+def slope_of_held_jobs() -> Slope:
+    """Memory of one more queued task."""
+
+    async def body(deployment):
+        entry = deployment.entries[0]
+        queue = entry.dispatcher.lane("dispatch").queue
+        points = []
+        tracemalloc.start()
+        async with trio.open_nursery() as nursery:
+            for _ in range(4):
+                for _ in range(25):
+                    nursery.start_soon(entry.submit, make_job(140, 30.0))
+                await trio.sleep(0.5)
+                points.append((float(len(queue)), float(_traced_bytes())))
+            nursery.cancel_scope.cancel()
+        tracemalloc.stop()
+        return points
+
+    points = trio.run(with_agents, 20, body)
+    return fit("queued task", "bytes / task", points)
+
+
+def slope_of_configuration() -> list[Slope]:
+    """CPU and bytes of one more worker in a configuration that is adopted."""
+    cpu, size = [], []
+    for workers in (100, 400, _WORKERS):
+        text = large_declarations(workers)
+        began_s = time.process_time()
+        Configuration().adopt(1, text, "lab")
+        cpu.append((float(workers), time.process_time() - began_s))
+        size.append((float(workers), float(len(zlib.compress(text.encode())))))
+    return [
+        fit("adopting a configuration", "CPU s / worker", cpu),
+        fit("configuration on the wire", "bytes / worker", size),
+    ]
+
+
+def large_declarations(workers: int) -> str:
+    """Returns declarations of the size to design for."""
+    lines = ["inventory:", "  sites:"]
+    for site, centres in (("north", 3), ("south", 2)):
+        names = ", ".join(f"{{name: {site}-{n}}}" for n in range(centres))
+        lines.append(f"    - {{name: {site}, data_centres: [{names}]}}")
+    lines += ["  services:", "    - {name: dispatch}", "  workers:"]
+    for number in range(workers):
+        lines.append(
+            f"    - {{name: w-{number}, data_centre: north-{number % 3},"
+            f" rack: r-{number // 3}, service: dispatch, slots: 8, accelerators: 1}}"
+        )
+    lines += ["rules:", "  customers:"]
+    for number in range(_CUSTOMERS):
+        lines.append(f"    - {{name: team-{number}, quota_starts_per_s: 500}}")
+    text = "\n".join(lines) + "\n"
+    return to_canonical(text, "lab")
+
+
+def bytes_on_wire() -> list[tuple[str, int]]:
+    """Returns the encoded sizes of common frames."""
+    payload = {"run_s": 0.2, "value": "x" * 40}
+    assign = Assign(
+        "0123456789abcdef-12345-17.1",
+        "0123456789abcdef-12345-17",
+        "0123456789abcdef-12345",
+        "restaurants",
+        payload,
+        9.75,
+    )
+    one = EntryFrame(12345.678, items=[assign])
+    ten = EntryFrame(12345.678, items=[assign] * 10)
+    return [
+        ("heartbeat frame", len(encode(EntryFrame(12345.678)))),
+        ("frame with 1 task", len(encode(one))),
+        ("frame with 10 tasks", len(encode(ten))),
+    ]
+
+
+def claim_rates() -> list[tuple[str, float, float]]:
+    """Returns claims a second and claims a transaction, single and grouped."""
+
+    async def claim_all(group_s: float, in_flight: int) -> tuple[float, float]:
+        platform = MemoryPlatform(latency_s=_CLAIM_LATENCY_S)
+        claims = Claims(platform, group_s, Counters("entry", "e"))
+        count = 2000
+        async with trio.open_nursery() as nursery:
+            await nursery.start(claims.run)
+            limiter = trio.Semaphore(in_flight)
+
+            async def one(number):
+                async with limiter:
+                    claim = await claims.acquire("c", f"k{number}", f"s{number}", 1e9)
+                    assert isinstance(claim, Claim)
+
+            began_s = time.perf_counter()
+            async with trio.open_nursery() as callers:
+                for number in range(count):
+                    callers.start_soon(one, number)
+            took_s = time.perf_counter() - began_s
+            nursery.cancel_scope.cancel()
+        return count / took_s, count / platform.writes
+
+    rows = []
+    for name, in_flight in (("single (1 in flight)", 1), ("grouped (100)", 100)):
+        rate, share = trio.run(claim_all, 0.004, in_flight)
+        rows.append((name, rate, share))
+    return rows
+
+
+def main() -> None:
+    """Measures and prints everything."""
+    configure_logs("ERROR")
+    slopes = [slope_of_tasks(), *slope_of_parts(), slope_of_held_jobs()]
+    slopes += [*slope_of_configuration(), *slopes_of_agents()]
+    print(f"{'slope':28}{'per unit':>14}  {'unit':20}{'r2':>7}  points")
+    for slope in slopes:
+        points = " ".join(f"{x:g}:{y:.4g}" for x, y in slope.points)
+        print(
+            f"{slope.name:28}{slope.per_unit:>14.4g}  {slope.unit:20}"
+            f"{slope.r2:>7.3f}  {points}"
+        )
+    for name, size in bytes_on_wire():
+        print(f"{name:28}{size:>14}  bytes")
+    for name, rate, share in claim_rates():
+        print(f"claims, {name:20}{rate:>14.0f}  claims / s, {share:.1f} a transaction")
+
+
+if __name__ == "__main__":
+    main()
