--- a/gooseberrylink/callers/status_codes.py
+++ b/gooseberrylink/callers/status_codes.py
@@ -18,7 +18,6 @@
     Code.EXPIRED_RAN: 504,
     Code.EXPIRED_MAY_HAVE_RUN: 504,
     Code.CLAIMED_ELSEWHERE: 409,
-    Code.ALREADY_RAN: 409,
 }
 
 
