--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,5 +1,7 @@
 """The whole path through real processes, with real signals."""
 
+import contextlib
+import http.client
 import json
 import signal
 import socket
@@ -169,7 +171,9 @@
     check_resubmission(processes)
     check_killed_agent(processes)
     check_frozen_agent(processes)
+    check_frozen_entry(processes)
     check_entry_shutdown(processes)
+    check_killed_entry(processes)
     labels = processes.starts()
     assert len(labels) == len(set(labels))
 
@@ -209,6 +213,35 @@
     assert not any("frozen" in label for label in processes.starts())
 
 
+def check_frozen_entry(processes):
+    thread, answers = processes.submit_in_background("entry-2", [1.0] * 3, "thawed")
+    wait_for(lambda: "thawed/0" in processes.starts())
+    processes.signal("entry-2", signal.SIGSTOP)
+    time.sleep(3.0)
+    processes.signal("entry-2", signal.SIGCONT)
+    thread.join()
+    assert answers[0]["results"] == [0, 1, 2]
+
+
+def check_killed_entry(processes):
+    processes.start_entry("entry-1")
+    processes.wait_ready(slots=16)
+    once = {"repeatable": False, "deadline_s": 3.0}
+
+    def submit():
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            processes.submit("entry-1", [1.0], "orphan", **once)
+
+    thread = threading.Thread(target=submit)
+    thread.start()
+    wait_for(lambda: "orphan/0" in processes.starts())
+    processes.signal("entry-1", signal.SIGKILL)
+    thread.join()
+    again = processes.submit("entry-2", [1.0], "orphan", **once)
+    assert again["name"] == "CLAIMED_ELSEWHERE"
+    assert processes.starts().count("orphan/0") == 1
+
+
 def check_entry_shutdown(processes):
     thread, answers = processes.submit_in_background("entry-1", [1.5] * 3, "last")
     wait_for(lambda: "last/0" in processes.starts())
