Give each link a session and an outbox of its own

Cause: reading the two ends of the link side by side showed the same loops twice, and three faults: a task that came back unsent went on counting as in flight, which inflates the estimate of this entry's slots; a dying sender could take items meant for the new link, and drop the question about tasks in doubt; and the lease of held tasks (2 s) was no longer than the heartbeat that renews it, since the heartbeat went from 1 s to 2 s. Ruled out: clearing the outbox on reconnect, which loses the same question. Change: peers/session.py runs a link for both ends, with an outbox for each session; unsent tasks end their flight; the lease is 5 s, and settings in which it is under two heartbeats are refused. Conclusion: one path where there were two, and less to read.

--- a/gooseberrylink/config.py
+++ b/gooseberrylink/config.py
@@ -1,9 +1,9 @@
 """Defines the settings files of the daemons."""
 
 import re
-from typing import Annotated, Literal
+from typing import Annotated, Literal, Self
 
-from pydantic import AfterValidator, Field
+from pydantic import AfterValidator, Field, model_validator
 
 from gooseberrylink.failures import FailurePolicy
 from gooseberrylink.yaml_file import StrictModel
@@ -36,7 +36,7 @@
     """
 
     data_centre: Name
-    lease_s: Seconds = 2.0
+    lease_s: Seconds = 5.0
     busy_heartbeat_s: Seconds = 2.0
     idle_heartbeat_s: Seconds = 10.0
     max_misses: int = Field(default=3, ge=2)
@@ -44,6 +44,12 @@
     drain_s: Seconds = 30.0
     log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
+    @model_validator(mode="after")
+    def _check_lease(self) -> Self:
+        if self.lease_s < 2 * self.busy_heartbeat_s:
+            raise ValueError("lease_s must be at least twice busy_heartbeat_s")
+        return self
+
 
 class AgentSettings(PeerSettings):
     """Settings of an agent.
--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -215,6 +215,13 @@
             self._counters.add("retries_delayed", reason)
             self._nursery.start_soon(self._requeue_later, task)
 
+    def unsent(self, peer: AgentPeer, assignment_id: str) -> None:
+        """Handles an assignment that never reached the transport."""
+        task = peer.flights.get(assignment_id)
+        if task is not None:
+            self._end_flight(peer, task)
+            self.not_started(task, "unsent")
+
     def agent_lost(self, peer: AgentPeer) -> None:
         """Gives up what was in flight at an incarnation that is gone."""
         for task in list(peer.flights.values()):
--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -1,15 +1,13 @@
 """Keeps the entry's link to one agent."""
 
 import dataclasses
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 import trio
 
-from gooseberrylink.exceptions import LinkClosedError
 from gooseberrylink.logs import log_event
-from gooseberrylink.peers.config_push import ConfigPush, unpack
-from gooseberrylink.peers.heartbeat import Heartbeat
+from gooseberrylink.peers.config_push import unpack
 from gooseberrylink.peers.link import Link
 from gooseberrylink.peers.messages import (
     Ack,
@@ -24,6 +22,7 @@
     encode,
 )
 from gooseberrylink.peers.outbox import Outbox
+from gooseberrylink.peers.session import Session
 from gooseberrylink.types import Task
 
 if TYPE_CHECKING:
@@ -65,7 +64,7 @@
         self.customer_demands: dict[str, float] = {}
         self._demand_told_s = 0.0
         self.heard_s = float("-inf")
-        self._link: Link | None = None
+        self._session: Session | None = None
         self._clock_s = 0.0
         self._free = 0
         self._free_long = 0
@@ -73,17 +72,16 @@
         self._assigns_seen = 0
         self._acks: list[str] = []
         self.config_version = 0
-        self._config_push: ConfigPush | None = None
 
     @property
     def is_connected(self) -> bool:
         """Whether the link is up."""
-        return self._link is not None
+        return self._session is not None
 
     @property
     def can_serve(self) -> bool:
         """Whether the link is up and a backend server stands behind it."""
-        return self._link is not None and self.slots > 0
+        return self._session is not None and self.slots > 0
 
     @property
     def free(self) -> int:
@@ -129,7 +127,7 @@
 
     def revoke(self, assignment_ids: list[str]) -> None:
         """Asks that tasks in flight do not start."""
-        if self._link is not None:
+        if self._session is not None:
             self.outbox.put(Revoke(assignment_ids))
 
     def acknowledge(self, assignment_id: str) -> None:
@@ -140,30 +138,25 @@
 
     async def serve(self, link: Link, hello: AgentHello) -> None:
         """Serves a new link until it closes."""
-        if self._link is not None:
-            self._link.close()
-        self._begin(link, hello)
-        settings = self._entry.settings
-        heartbeat = Heartbeat(settings, self.outbox, self._is_busy)
+        if self._session is not None:
+            self._session.link.close()
+        entry = self._entry
+        session = Session(link, entry.settings, entry.configuration, entry.random, self)
+        self._begin(session, hello)
         try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._send_frames, link, heartbeat)
-                nursery.start_soon(heartbeat.watch, link)
-                nursery.start_soon(self._config_push.run)
-                await self._read_frames(link, heartbeat)
-                nursery.cancel_scope.cancel()
+            await session.run()
         finally:
-            link.close()
-            if self._link is link:
+            if self._session is session:
                 self._end()
 
-    def _begin(self, link: Link, hello: AgentHello) -> None:
-        link.send(encode(self._entry.hello()))
+    def _begin(self, session: Session, hello: AgentHello) -> None:
+        session.link.send(encode(self._entry.hello()))
         is_same = hello.incarnation == self.incarnation
         if not is_same:
             self._acks.clear()
             self._entry.dispatcher.agent_lost(self)
-        self._link = link
+        self._session = session
+        self.outbox = session.outbox
         self.incarnation = hello.incarnation
         self.data_centre = hello.data_centre
         self.service = hello.service
@@ -172,10 +165,7 @@
         self._free = self._free_long = 0
         self._assigns_sent = self._assigns_seen = 0
         self.config_version = hello.config_version
-        self._config_push = ConfigPush(
-            self._entry.configuration, self.outbox, self._entry.random
-        )
-        self._config_push.known_version = hello.config_version
+        session.note_version(hello.config_version)
         self.demand_told = 0
         log_event("agent_connected", worker=self.worker, in_doubt=len(self.flights))
         if self.flights:
@@ -185,20 +175,18 @@
         self._entry.agent_connected(self, hello)
 
     def _end(self) -> None:
-        self._link = None
+        self._session = None
         self.demand_told = 0
         log_event("agent_disconnected", worker=self.worker, in_doubt=len(self.flights))
-        self._give_back(self.outbox.take())
 
-    def _give_back(self, unsent: list) -> None:
-        """Returns assignments to the queue that never reached the transport."""
-        for item in unsent:
+    def give_back(self, items: list[Any]) -> None:
+        """See SessionOwner; returns assignments to the queue."""
+        for item in items:
             if isinstance(item, Assign):
-                task = self.flights.pop(item.assignment_id, None)
-                if task is not None:
-                    self._entry.dispatcher.not_started(task, "unsent")
+                self._entry.dispatcher.unsent(self, item.assignment_id)
 
-    def _is_busy(self) -> bool:
+    def is_busy(self) -> bool:
+        """See SessionOwner."""
         # The agent keeps the link busy until its results are acknowledged.
         return bool(self.flights or self._acks)
 
@@ -206,18 +194,13 @@
         self._clock_s = clock_s
         self.heard_s = trio.current_time()
 
-    async def _read_frames(self, link: Link, heartbeat: Heartbeat) -> None:
-        while True:
-            try:
-                frame = decode_at_entry(await link.receive())
-            except LinkClosedError:
-                return
-            except msgspec.MsgspecError as error:
-                log_event("frame_malformed", "ERROR", error=error)
-                return
-            heartbeat.heard()
-            if isinstance(frame, AgentFrame) and self._link is link:
-                self._receive(frame)
+    def receive(self, data: bytes) -> int:
+        """See SessionOwner."""
+        frame = decode_at_entry(data)
+        if isinstance(frame, AgentHello):
+            raise msgspec.ValidationError("a second hello")
+        self._receive(frame)
+        return frame.config_version
 
     def _receive(self, frame: AgentFrame) -> None:
         self._note_clock(frame.clock_s)
@@ -230,7 +213,6 @@
                 customer, self.worker, total_per_s, self.heard_s
             )
         self.config_version = frame.config_version
-        self._config_push.known_version = frame.config_version
         for item in frame.items:
             match item:
                 case Result():
@@ -245,16 +227,10 @@
         if frame.service != self.service:
             self._entry.dispatcher.move_peer(self, frame.service)
 
-    async def _send_frames(self, link: Link, heartbeat: Heartbeat) -> None:
-        while True:
-            is_heartbeat = await heartbeat.wait_until_due()
-            items = self.outbox.take()
-            self._count_frame(items, is_heartbeat)
-            try:
-                link.send(encode(self._next_frame(items)))
-            except LinkClosedError:
-                self._give_back(items)
-                return
+    def next_frame(self, items: list[Any], is_heartbeat: bool) -> bytes:
+        """See SessionOwner."""
+        self._count_frame(items, is_heartbeat)
+        return encode(self._next_frame(items))
 
     def _count_frame(self, items: list, is_heartbeat: bool) -> None:
         kind = "heartbeat" if is_heartbeat else "control"
--- a/gooseberrylink/peers/entry_peer.py
+++ b/gooseberrylink/peers/entry_peer.py
@@ -1,18 +1,15 @@
 """Keeps the agent's link to one entry."""
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 import trio
 
 from gooseberrylink.exceptions import LinkClosedError
 from gooseberrylink.logs import log_event
-from gooseberrylink.peers.config_push import ConfigPush
-from gooseberrylink.peers.heartbeat import Heartbeat
 from gooseberrylink.peers.link import Link
 from gooseberrylink.peers.messages import (
     AgentFrame,
-    EntryFrame,
     EntryHello,
     Result,
     Status,
@@ -20,6 +17,7 @@
     encode,
 )
 from gooseberrylink.peers.outbox import Outbox
+from gooseberrylink.peers.session import Session
 
 if TYPE_CHECKING:
     from gooseberrylink.agent import Agent
@@ -52,14 +50,13 @@
         self.outbox = Outbox()
         self.quarantined_share = 0.0
         self.customer_demands: dict[str, float] = {}
-        self._link: Link | None = None
+        self._session: Session | None = None
         self._assigns_seen = 0
-        self._config_push: ConfigPush | None = None
 
     @property
     def is_connected(self) -> bool:
         """Whether the link is up and the entry said hello."""
-        return self._link is not None
+        return self._session is not None
 
     async def run(self) -> None:
         """Keeps the link up until cancelled."""
@@ -77,80 +74,68 @@
     async def _serve(self, link: Link) -> bool:
         """Serves one link until it closes; returns whether it ever worked."""
         try:
-            await self._greet(link)
+            hello = await self._greet(link)
         except (LinkClosedError, msgspec.MsgspecError, trio.TooSlowError):
             link.close()
             return False
-        self._link = link
-        self._agent.entry_connected(self)
-        settings = self._agent.settings
-        heartbeat = Heartbeat(settings, self.outbox, self._is_busy)
+        agent = self._agent
+        session = Session(link, agent.settings, agent.configuration, agent.random, self)
+        self._begin(session, hello)
         try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._send_frames, link, heartbeat)
-                nursery.start_soon(heartbeat.watch, link)
-                nursery.start_soon(self._config_push.run)
-                await self._read_frames(link, heartbeat)
-                nursery.cancel_scope.cancel()
+            await session.run()
         finally:
-            link.close()
-            self._link = None
-            self._agent.entry_disconnected(self)
+            self._session = None
+            agent.entry_disconnected(self)
         return True
 
-    async def _greet(self, link: Link) -> None:
+    async def _greet(self, link: Link) -> EntryHello:
         link.send(encode(self._agent.hello()))
         with trio.fail_after(_HELLO_TIMEOUT_S):
             hello = decode_at_agent(await link.receive())
         if not isinstance(hello, EntryHello):
             raise msgspec.ValidationError("the first frame is not a hello")
+        return hello
+
+    def _begin(self, session: Session, hello: EntryHello) -> None:
+        self._session = session
+        self.outbox = session.outbox
+        session.note_version(hello.config_version)
         if hello.incarnation != self.incarnation:
-            self.outbox.take()
             self.unacknowledged.clear()
-        # Results or their acknowledgements may have been lost with the old link.
-        self._agent.send_results_again(self)
         self.incarnation = hello.incarnation
         self.name = hello.entry
         self._assigns_seen = 0
-        self._config_push = ConfigPush(
-            self._agent.configuration, self.outbox, self._agent.random
-        )
-        self._config_push.known_version = hello.config_version
         log_event("entry_connected", entry=hello.entry, address=self.address)
+        self._agent.entry_connected(self)
+        # Results or their acknowledgements may have been lost with the old link.
+        self._agent.send_results_again(self)
         self._agent.learn_entries([*hello.entries, hello.address])
         self.outbox.poke()
 
-    def _is_busy(self) -> bool:
+    def is_busy(self) -> bool:
+        """See SessionOwner."""
         # A result that the entry may not have got is in progress, too.
         return self.running > 0 or bool(self.unacknowledged)
 
-    async def _read_frames(self, link: Link, heartbeat: Heartbeat) -> None:
-        while True:
-            try:
-                frame = decode_at_agent(await link.receive())
-            except LinkClosedError:
-                return
-            except msgspec.MsgspecError as error:
-                log_event("frame_malformed", "ERROR", error=error)
-                return
-            heartbeat.heard()
-            if isinstance(frame, EntryFrame):
-                self._config_push.known_version = frame.config_version
-                self._agent.receive(self, frame)
+    def receive(self, data: bytes) -> int:
+        """See SessionOwner."""
+        frame = decode_at_agent(data)
+        if isinstance(frame, EntryHello):
+            raise msgspec.ValidationError("a second hello")
+        self._agent.receive(self, frame)
+        return frame.config_version
+
+    def give_back(self, items: list[Any]) -> None:
+        """See SessionOwner; results are sent again by the next session."""
 
     def count_assign(self) -> None:
         """Notes an assignment, so that the entry can tell what we had seen."""
         self._assigns_seen += 1
 
-    async def _send_frames(self, link: Link, heartbeat: Heartbeat) -> None:
-        while True:
-            is_heartbeat = await heartbeat.wait_until_due()
-            items = self.outbox.take()
-            self._count_frame(items, is_heartbeat)
-            try:
-                link.send(encode(self._next_frame(items)))
-            except LinkClosedError:
-                return
+    def next_frame(self, items: list[Any], is_heartbeat: bool) -> bytes:
+        """See SessionOwner."""
+        self._count_frame(items, is_heartbeat)
+        return encode(self._next_frame(items))
 
     def _count_frame(self, items: list, is_heartbeat: bool) -> None:
         kind = "heartbeat" if is_heartbeat else "control"
--- /dev/null
+++ b/gooseberrylink/peers/session.py
@@ -0,0 +1,100 @@
+"""Runs one link from its hello until it closes; alike at both ends."""
+
+import random
+from typing import Any, Protocol
+
+import msgspec
+import trio
+
+from gooseberrylink.config import PeerSettings
+from gooseberrylink.exceptions import LinkClosedError
+from gooseberrylink.logs import log_event
+from gooseberrylink.operators.configuration import Configuration
+from gooseberrylink.peers.config_push import ConfigPush
+from gooseberrylink.peers.heartbeat import Heartbeat
+from gooseberrylink.peers.link import Link
+from gooseberrylink.peers.outbox import Outbox
+
+
+class SessionOwner(Protocol):
+    """The peer that a session belongs to."""
+
+    def is_busy(self) -> bool:
+        """Whether tasks are under way, so that silence means trouble."""
+
+    def receive(self, data: bytes) -> int:
+        """Handles a frame; returns the sender's configuration version.
+
+        Raises:
+            msgspec.MsgspecError: The frame is malformed.
+        """
+
+    def next_frame(self, items: list[Any], is_heartbeat: bool) -> bytes:
+        """Encodes the next frame to send."""
+
+    def give_back(self, items: list[Any]) -> None:
+        """Takes back items that never reached the transport."""
+
+
+class Session:
+    """One link of a peer.
+
+    Each session has an outbox of its own: what waits for an old link must not
+    be sent by its dying sender in place of the new one.
+
+    Attributes:
+        outbox: What is to be sent.
+    """
+
+    def __init__(
+        self,
+        link: Link,
+        settings: PeerSettings,
+        configuration: Configuration,
+        rng: random.Random,
+        owner: SessionOwner,
+    ):
+        self.link = link
+        self.outbox = Outbox()
+        self._owner = owner
+        self._config_push = ConfigPush(configuration, self.outbox, rng)
+        self._heartbeat = Heartbeat(settings, self.outbox, owner.is_busy)
+
+    def note_version(self, version: int) -> None:
+        """Notes which configuration the peer has."""
+        self._config_push.known_version = version
+
+    async def run(self) -> None:
+        """Sends and receives until the link closes."""
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._send_frames)
+                nursery.start_soon(self._heartbeat.watch, self.link)
+                nursery.start_soon(self._config_push.run)
+                await self._read_frames()
+                nursery.cancel_scope.cancel()
+        finally:
+            self.link.close()
+            self._owner.give_back(self.outbox.take())
+
+    async def _read_frames(self) -> None:
+        while True:
+            try:
+                version = self._owner.receive(await self.link.receive())
+            except LinkClosedError:
+                return
+            except msgspec.MsgspecError as error:
+                log_event("frame_malformed", "ERROR", error=error)
+                return
+            self._heartbeat.heard()
+            self.note_version(version)
+
+    async def _send_frames(self) -> None:
+        while True:
+            is_heartbeat = await self._heartbeat.wait_until_due()
+            items = self.outbox.take()
+            try:
+                self.link.send(self._owner.next_frame(items, is_heartbeat))
+            except LinkClosedError:
+                self._owner.give_back(items)
+                return
