Close the bench's listeners before its gRPC thread stops

Cause: ending a replay printed a traceback of a cancelled gRPC server task. Ruled out: a task of ours; the server was still listening when its loop ended. Change: listeners are closed first, in the bench and in the capacity script.

--- a/gooseberrylink/bench/runs.py
+++ b/gooseberrylink/bench/runs.py
@@ -64,6 +64,7 @@
             async with trio.open_nursery() as nursery:
                 network = GrpcNetwork(nursery, thread)
                 result = await _replay(trace, scenario, policy, seed, nursery, network)
+                await network.close_all()
                 nursery.cancel_scope.cancel()
         finally:
             thread.stop()
--- a/gooseberrylink/standins/deployment.py
+++ b/gooseberrylink/standins/deployment.py
@@ -58,6 +58,11 @@
         """See Network."""
         await self._listeners.pop(address).stop()
 
+    async def close_all(self) -> None:
+        """Makes all entries unreachable."""
+        for address in list(self._listeners):
+            await self.close(address)
+
     async def _accept(self, listener: GrpcListener, entry: Entry) -> None:
         while True:
             link = await listener.accept()
--- a/lab/capacity.py
+++ b/lab/capacity.py
@@ -77,7 +77,8 @@
     """Runs one entry and some agents over gRPC on loopback."""
     thread = GrpcThread()
     async with trio.open_nursery() as nursery:
-        deployment = Deployment(nursery, GrpcNetwork(nursery, thread), "dispatch")
+        network = GrpcNetwork(nursery, thread)
+        deployment = Deployment(nursery, network, "dispatch")
         text = (_EXAMPLES / "bennani.yaml").read_text()
         await deployment.configure(text.replace(", quota_starts_per_s: 400", ""))
         await deployment.add_entry("entry-1")
@@ -86,6 +87,7 @@
             await deployment.add_agent(f"w-{number}", 8, backend)
         await deployment.wait_connected()
         result = await body(deployment)
+        await network.close_all()
         nursery.cancel_scope.cancel()
     thread.stop()
     return result
