--- a/gooseberrylink/operators/declarations.py
+++ b/gooseberrylink/operators/declarations.py
@@ -1,9 +1,8 @@
 """Defines the declarations: the operators' inventory and rules."""
 
-import collections
-from typing import Annotated, Self
+from typing import Annotated
 
-from pydantic import Field, model_validator
+from pydantic import Field
 
 from gooseberrylink.config import Name, Seconds
 from gooseberrylink.yaml_file import StrictModel, parse_model
@@ -11,6 +10,8 @@
 MAX_TASKS_PER_JOB = 140
 DEFAULT_LONG_AFTER_S = 1.0
 
+Fault = tuple[tuple[str | int, ...], str]
+
 
 class DataCentre(StrictModel):
     """A data centre of a site."""
@@ -111,33 +112,48 @@
     inventory: Inventory
     rules: Rules
 
-    @model_validator(mode="after")
-    def _check_references(self) -> Self:
+    def find_faults(self) -> list[Fault]:
+        """See StrictModel."""
+        return [*self._repeated_names(), *self._unknown_names(), *self._deadlines()]
+
+    def _repeated_names(self) -> list[Fault]:
         inventory = self.inventory
-        centres = [dc.name for site in inventory.sites for dc in site.data_centres]
         services = [service.name for service in inventory.services]
-        problems = _twice("data centre", centres) + _twice("service", services)
-        problems += _twice("worker", [w.name for w in inventory.workers])
-        problems += _twice("customer", [c.name for c in self.rules.customers])
-        for worker in inventory.workers:
-            if worker.data_centre not in centres:
-                problems.append(
-                    f"worker {worker.name}: unknown data centre {worker.data_centre},"
-                    f" expected one of {', '.join(centres)}"
-                )
+        workers = [worker.name for worker in inventory.workers]
+        customers = [customer.name for customer in self.rules.customers]
+        faults = _repeated(("inventory", "services"), services)
+        faults += _repeated(("inventory", "workers"), workers)
+        faults += _repeated(("rules", "customers"), customers)
+        if len(set(self._data_centres())) < len(self._data_centres()):
+            faults.append((("inventory", "sites"), "a data centre's name stands twice"))
+        return faults
+
+    def _unknown_names(self) -> list[Fault]:
+        services = [service.name for service in self.inventory.services]
+        faults: list[Fault] = []
+        for index, worker in enumerate(self.inventory.workers):
+            path = ("inventory", "workers", index)
+            if worker.data_centre not in self._data_centres():
+                message = _unknown(worker.data_centre, self._data_centres())
+                faults.append(((*path, "data_centre"), message))
             if worker.service not in services:
-                problems.append(
-                    f"worker {worker.name}: unknown service {worker.service},"
-                    f" expected one of {', '.join(services)}"
-                )
-        for service in inventory.services:
-            if service.default_deadline_s > service.max_deadline_s:
-                problems.append(
-                    f"service {service.name}: default_deadline_s is over max_deadline_s"
-                )
-        if problems:
-            raise ValueError("; ".join(problems))
-        return self
+                message = _unknown(worker.service, services)
+                faults.append(((*path, "service"), message))
+        return faults
+
+    def _deadlines(self) -> list[Fault]:
+        return [
+            (
+                ("inventory", "services", index, "default_deadline_s"),
+                f"is over max_deadline_s ({service.max_deadline_s:g} s)",
+            )
+            for index, service in enumerate(self.inventory.services)
+            if service.default_deadline_s > service.max_deadline_s
+        ]
+
+    def _data_centres(self) -> list[str]:
+        sites = self.inventory.sites
+        return [centre.name for site in sites for centre in site.data_centres]
 
     def customer(self, name: str) -> Customer | None:
         """Returns a customer by name."""
@@ -168,6 +184,15 @@
     return parse_model(text, name, Declarations).model_dump_json(indent=1)
 
 
-def _twice(kind: str, names: list[str]) -> list[str]:
-    counts = collections.Counter(names)
-    return [f"{kind} {name} stands twice" for name, n in counts.items() if n > 1]
+def _repeated(path: tuple[str, ...], names: list[str]) -> list[Fault]:
+    seen: set[str] = set()
+    faults: list[Fault] = []
+    for index, name in enumerate(names):
+        if name in seen:
+            faults.append(((*path, index, "name"), f"{name} stands twice"))
+        seen.add(name)
+    return faults
+
+
+def _unknown(name: str, expected: list[str]) -> str:
+    return f"unknown name {name}, expected one of {', '.join(expected)}"
--- a/gooseberrylink/yaml_file.py
+++ b/gooseberrylink/yaml_file.py
@@ -9,7 +9,6 @@
 from gooseberrylink.exceptions import ConfigError
 
 _Path = tuple[str | int, ...]
-_Model = TypeVar("_Model", bound=pydantic.BaseModel)
 
 
 class StrictModel(pydantic.BaseModel):
@@ -17,6 +16,13 @@
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
+    def find_faults(self) -> list[tuple[_Path, str]]:
+        """Returns what is wrong between fields, as path and message."""
+        return []
+
+
+_Model = TypeVar("_Model", bound=StrictModel)
+
 
 def read_model(path: pathlib.Path, model: type[_Model]) -> _Model:
     """Reads a YAML file into a model.
@@ -48,6 +54,8 @@
         _index_lines(root, (), lines, faults, name)
     try:
         result = model.model_validate(data if data is not None else {})
+        for path, message in result.find_faults():
+            faults.append(_fault(name, lines, path, message))
     except pydantic.ValidationError as error:
         faults += [_model_fault(name, lines, item) for item in error.errors()]
     if faults:
@@ -83,11 +91,6 @@
 
 
 def _model_fault(name: str, lines: dict[_Path, int], error: dict) -> str:
-    path = tuple(error["loc"])
-    known = path
-    while known and known not in lines:
-        known = known[:-1]
-    line = lines.get(known, 1)
     message = error["msg"].removeprefix("Value error, ")
     if error["type"] == "extra_forbidden":
         message = "unknown field"
@@ -95,6 +98,14 @@
         message = "field is missing"
     else:
         message += f" (found {error['input']!r:.60})"
+    return _fault(name, lines, tuple(error["loc"]), message)
+
+
+def _fault(name: str, lines: dict[_Path, int], path: _Path, message: str) -> str:
+    known = path
+    while known and known not in lines:
+        known = known[:-1]
+    line = lines.get(known, 1)
     return f"{name}:{line}: {_dotted(path) or '(file)'}: {message}"
 
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -188,8 +188,14 @@
         ("rack: rack-1, ", "", "workers[0].rack: field is missing"),
         ("long_after_s: 1.0", "long_after_s: 1 s", "long_after_s: Input should be a"),
         ("rules:", "rules: &a [", "not valid YAML"),
-        ("service: dispatch, slots", "service: nope, slots", "unknown service nope"),
+        (
+            "service: dispatch, slots",
+            "service: nope, slots",
+            "workers[0].service: unknown name nope, expected one of dispatch",
+        ),
         ("precedence: 1, ", "precedence: 1, precedence: 2, ", "stands twice"),
+        ("name: tank-2,", "name: tank-1,", "workers[1].name: tank-1 stands twice"),
+        ("default_deadline_s: 30", "default_deadline_s: 300", "is over max_deadline_s"),
     ],
 )
 def test_faults_name_line_and_field(declarations_text, old, new, fault):
@@ -198,4 +204,4 @@
         parse_model(text, "file.yaml", Declarations)
     line = next(line for line in error.value.faults if fault in line)
     assert line.startswith("file.yaml:")
-    assert line.split(":")[1].isdigit()
+    assert int(line.split(":")[1]) > 1
