Record the outcomes of claims before a drained entry ends

Cause: reading drain() as a newcomer: it waited for answers, but outcomes of claimed requests are written in the background, and were lost with the process. A resubmission then heard 'claimed elsewhere' for a request that had a whole answer. Ruled out: writing the outcome before answering, which adds a transaction to each answer. Change: drain waits for unrecorded outcomes, too, within its bound. Before: the new test fails without the change. After: 18 tests of claims and shutdown pass. Conclusion: a graceful shutdown leaves no claim without its outcome.

--- a/gooseberrylink/claims.py
+++ b/gooseberrylink/claims.py
@@ -52,7 +52,11 @@
 
 
 class Claims:
-    """The claims of one entry."""
+    """The claims of one entry.
+
+    Attributes:
+        unrecorded: Outcomes that are not in the table yet.
+    """
 
     def __init__(self, platform: Platform, group_s: float, counters: Counters):
         self._platform = platform
@@ -60,6 +64,7 @@
         self._counters = counters
         self._send, self._receive = trio.open_memory_channel[_Pending](math.inf)
         self._nursery: trio.Nursery | None = None
+        self.unrecorded = 0
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Writes claims in groups until cancelled."""
@@ -110,7 +115,8 @@
         if self._nursery is None:
             # The entry is at its end; the claim stays without an outcome.
             return
-        self._nursery.start_soon(self._record, claim, value)
+        self.unrecorded += 1
+        self._nursery.start_soon(self._record_in_background, claim, value)
 
     async def _acquire(self, claim: Claim) -> Claim | Answer:
         if_version = 0
@@ -178,6 +184,12 @@
         self._counters.add("claims", "refused")
         return Answer(Code.CLAIM_UNAVAILABLE, detail, retry_after_s=1.0)
 
+    async def _record_in_background(self, claim: Claim, value: dict) -> None:
+        try:
+            await self._record(claim, value)
+        finally:
+            self.unrecorded -= 1
+
     async def _record(self, claim: Claim, value: dict) -> None:
         with trio.move_on_after(_BACKGROUND_S):
             while True:
--- a/gooseberrylink/entry.py
+++ b/gooseberrylink/entry.py
@@ -251,11 +251,14 @@
     async def drain(self) -> bool:
         """Takes no new jobs and waits until those in progress are answered.
 
+        Outcomes of claimed requests are recorded too, or a resubmission could
+        not be told what became of them.
+
         Returns:
-            Whether all of them were answered in time.
+            Whether all of them were answered and recorded in time.
         """
         self.dispatcher.is_draining = True
         with trio.move_on_after(self.settings.drain_s) as scope:
-            while self.dispatcher.jobs:
+            while self.dispatcher.jobs or self.claims.unrecorded:
                 await trio.sleep(_DRAIN_TICK_S)
         return not scope.cancelled_caught
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -131,6 +131,21 @@
     run_deployment(test)
 
 
+def test_draining_entry_records_its_outcomes(run_deployment, make_job):
+    # Cause: an entry was drained as soon as its answers were out, and ended
+    # before their outcomes were in the table.
+    async def test(deployment):
+        first, second = await start(deployment)
+        deployment.platform.latency_s = 0.5
+        assert (await first.submit(make_job(0.1, **ONCE))).code is Code.OK
+        assert await first.drain()
+        await deployment.kill_entry(first)
+        answer = await second.submit(make_job(0.1, **ONCE))
+        assert (answer.code, answer.results) == (Code.OK, [0])
+
+    run_deployment(test)
+
+
 def test_naive_store_use_runs_twice(run_deployment, make_job, monkeypatch):
     # Taking a lost answer for "not claimed", without reading back, and trying
     # again under a new submission lets a request run twice.
