Let the inventory steer agents, and drop what nobody uses

Each service name that a caller made up also left a queue behind. Ruled out: steering at the entries, which would leave a window in which a stale entry still sends work; the agent is the gate. Change: an agent fits its slots to its backend server and to the inventory whenever either changes; a worker that is not in it, or is there with another service, gets nothing new. Unknown services get no queue. Unused functions, found by a dead-code search, are gone. Before: no mechanism. Conclusion: applied declarations now change what runs.

--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -18,6 +18,7 @@
 from gooseberrylink.gate import Gate, Record, RecordState
 from gooseberrylink.logs import log_event
 from gooseberrylink.operators.configuration import Configuration
+from gooseberrylink.operators.declarations import Worker
 from gooseberrylink.peers.config_push import unpack
 from gooseberrylink.peers.entry_peer import EntryPeer
 from gooseberrylink.peers.link import Dialer
@@ -70,7 +71,7 @@
         self.is_draining = False
         self._demands = DemandTable()
         self._backend: BackendServer | None = None
-        self._speed_hint = 1.0
+        self._announced: Announcement | None = None
         self._held: collections.deque[Record] = collections.deque()
         self._running: dict[str, Record] = {}
         self._long_ids: set[str] = set()
@@ -93,9 +94,7 @@
             Whether everything in progress was finished and delivered.
         """
         self.is_draining = True
-        self.ledger.resize(0)
-        self._drop_all_held("draining")
-        self._poke_all()
+        self._fit_slots()
         with trio.move_on_after(timeout_s) as scope:
             while self._has_unfinished_business():
                 await trio.sleep(_DRAIN_TICK_S)
@@ -107,12 +106,9 @@
         """Starts using a backend server that announced itself."""
         self._backend = backend
         self.service = announced.service
-        self._speed_hint = announced.speed_hint
-        if not self.is_draining:
-            self.ledger.resize(announced.slots)
+        self._announced = announced
         self.failures.reset()
-        self._update_limit()
-        self._poke_all()
+        self._fit_slots()
         log_event("backend_attached", service=announced.service, slots=announced.slots)
 
     def detach_backend(self, reason: str) -> None:
@@ -120,11 +116,39 @@
         if self._backend is None:
             return
         self._backend = None
-        self.ledger.resize(0)
-        self._drop_all_held("backend_left")
-        self._poke_all()
+        self._fit_slots()
         log_event("backend_detached", service=self.service, reason=reason)
 
+    def _fit_slots(self) -> None:
+        """Uses as many slots as the backend server and the inventory allow."""
+        slots = 0
+        if self._reason_for_no_slots() is None:
+            slots = self._announced.slots
+            declared = self._declared()
+            if declared is not None:
+                slots = min(slots, declared.slots)
+        self.ledger.resize(slots)
+        self._update_limit()
+        if not slots:
+            self._drop_all_held(self._reason_for_no_slots())
+        self._poke_all()
+
+    def _reason_for_no_slots(self) -> str | None:
+        if self.is_draining:
+            return "draining"
+        if self._backend is None:
+            return "no_backend"
+        declared = self._declared()
+        if self.configuration.declarations is not None and (
+            declared is None or declared.service != self.service
+        ):
+            return "not_in_inventory"
+        return None
+
+    def _declared(self) -> Worker | None:
+        declarations = self.configuration.declarations
+        return declarations.worker(self.settings.worker) if declarations else None
+
     # What entries say.
 
     def hello(self) -> AgentHello:
@@ -138,7 +162,7 @@
             clock_s=trio.current_time(),
             entries=sorted(self._known_entries),
             config_version=self.configuration.version,
-            speed_hint=self._speed_hint,
+            speed_hint=self._announced.speed_hint if self._announced else 1.0,
         )
 
     def learn_entries(self, addresses: list[str]) -> None:
@@ -197,6 +221,7 @@
 
     def _adopt(self, update: ConfigUpdate) -> None:
         if self.configuration.adopt(update.version, unpack(update), "entry"):
+            self._fit_slots()
             # Every entry hears which version is here now, and those that have
             # an older one get it.
             self._poke_all()
@@ -225,10 +250,8 @@
     def _reason_not_to_start(
         self, peer: EntryPeer, assign: Assign, now_s: float
     ) -> str | None:
-        if self.is_draining:
-            return "draining"
-        if self._backend is None:
-            return "no_backend"
+        if not self.ledger.slots:
+            return self._reason_for_no_slots() or "full"
         free = self.ledger.idle()
         if assign.is_long and not assign.is_holdable:
             free = self.ledger.idle_long(now_s)
@@ -247,7 +270,7 @@
         if assign.is_holdable:
             return len(self._held) < self.settings.max_held
         is_cautious = self.ledger.limit < self.ledger.slots
-        if assign.is_long or is_cautious:
+        if assign.is_long or is_cautious or not self.ledger.slots:
             return False
         return len(self._held) < _MAX_CROSSED
 
--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -10,7 +10,6 @@
 from gooseberrylink.config import EntrySettings
 from gooseberrylink.counters import Counters
 from gooseberrylink.lane import Lane
-from gooseberrylink.logs import log_event
 from gooseberrylink.operators.configuration import Configuration
 from gooseberrylink.peers.agent_peer import AgentPeer, AssignHints
 from gooseberrylink.peers.messages import Result, Status
@@ -86,8 +85,10 @@
             RefusedError: The job can't be taken; nothing was started.
         """
         now_s = trio.current_time()
-        lane = self.lane(request.service)
+        # A lane is kept only for a service that exists.
+        lane = self._lanes.get(request.service) or Lane(request.service)
         self._admission.check(request, lane, entries, now_s, self.is_draining)
+        lane = self.lane(request.service)
         number = next(self._sequence)
         job = Job(
             job_id=f"{self._incarnation}-{number}",
@@ -361,17 +362,6 @@
         if task.job.job_id in self.jobs:
             self._requeue(task)
 
-    def log_state(self) -> None:
-        """Logs the length of each queue."""
-        for lane in self._lanes.values():
-            log_event(
-                "lane",
-                "DEBUG",
-                service=lane.service,
-                queued=len(lane.queue),
-                in_flight=lane.in_flight,
-            )
-
 
 def _progress(job: Job) -> str:
     done = sum(task.state is TaskState.DONE for task in job.tasks)
--- a/gooseberrylink/failures.py
+++ b/gooseberrylink/failures.py
@@ -80,10 +80,6 @@
         """Notes the start of a task."""
         self._first_start_s = min(self._first_start_s, now_s)
 
-    def blocked_until_s(self) -> float:
-        """When the next probe may start; 0 outside quarantine."""
-        return self._blocked_until_s if self.is_quarantined else 0.0
-
     def succeeded(self, started_s: float) -> None:
         """Notes a success of any customer's task.
 
--- a/gooseberrylink/latency.py
+++ b/gooseberrylink/latency.py
@@ -5,7 +5,6 @@
 _LOWEST = 1
 _HIGHEST = 3_600_000
 _DIGITS = 3
-PERCENTILES = (50.0, 99.0, 99.9)
 
 
 class ValueHistogram:
--- a/gooseberrylink/operators/declarations.py
+++ b/gooseberrylink/operators/declarations.py
@@ -163,9 +163,9 @@
         """Returns a service by name."""
         return next((s for s in self.inventory.services if s.name == name), None)
 
-    def worker_count(self, service: str) -> int:
-        """Returns how many workers the inventory has for a service."""
-        return sum(worker.service == service for worker in self.inventory.workers)
+    def worker(self, name: str) -> Worker | None:
+        """Returns a worker by name."""
+        return next((w for w in self.inventory.workers if w.name == name), None)
 
 
 def to_canonical(text: str, name: str) -> str:
--- a/gooseberrylink/peers/outbox.py
+++ b/gooseberrylink/peers/outbox.py
@@ -21,10 +21,6 @@
         self._items.append(item)
         self._wakeup.set()
 
-    def put_lazily(self, item) -> None:
-        """Adds an item that can wait for the next frame."""
-        self._items.append(item)
-
     def poke(self) -> None:
         """Wakes the sender even if there is no item, to send its header."""
         self._wakeup.set()
--- a/lab/roles.sh
+++ b/lab/roles.sh
@@ -24,7 +24,7 @@
 start $run entry --settings "$dir/entry.yaml"
 entry=${pids[-1]}
 for n in 1 2 3 4; do
-  echo "{worker: w$n, data_centre: a, listen: \"127.0.0.1:752$n\", entries: [\"127.0.0.1:7511\"]}" > "$dir/a$n.yaml"
+  echo "{worker: tank-$n, data_centre: a, listen: \"127.0.0.1:752$n\", entries: [\"127.0.0.1:7511\"]}" > "$dir/a$n.yaml"
   start $run agent --settings "$dir/a$n.yaml"
   agent=${pids[-1]}
   sleep 1
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -116,6 +116,8 @@
 def test_refused_request_gives_its_key_back(run_deployment, make_job):
     async def test(deployment):
         first, second = await start(deployment)
+        # Agents have the configuration by then, and fit their slots to it.
+        await trio.sleep(3)
         for agent in deployment.agents.values():
             agent.ledger.slots = 0
         answer = await first.submit(make_job(0.1, deadline_s=1, **ONCE))
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -163,6 +163,30 @@
     run_deployment(test)
 
 
+def test_worker_taken_out_of_the_inventory_gets_nothing_new(
+    run_deployment, declarations_text, make_job
+):
+    # Changes of the inventory are the operators' way to steer; the running
+    # task ends, and a worker that comes back is used again.
+    lines = declarations_text.splitlines(keepends=True)
+    without = "".join(line for line in lines if "name: tank-1," not in line)
+    smaller = declarations_text.replace("dispatch, slots: 8", "dispatch, slots: 3", 1)
+
+    async def test(deployment):
+        store = await start(deployment)
+        entry, agent = deployment.entries[0], deployment.agents["tank-1"]
+        for text, slots in ((without, 0), (smaller, 3), (declarations_text, 8)):
+            await store.apply(to_canonical(text, "t"), text[:0] + str(slots), None, 5)
+            await trio.sleep(IN_FORCE_S)
+            assert entry.peers["tank-1"].slots == agent.ledger.slots == slots
+            before = len(deployment.backends[0].starts)
+            answer = await entry.submit(make_job(*[0.2] * 60))
+            assert answer.code is Code.OK
+            assert (len(deployment.backends[0].starts) > before) == (slots > 0)
+
+    run_deployment(test)
+
+
 def test_version_never_falls(old_text, new_text):
     configuration = Configuration()
     assert configuration.adopt(5, new_text, "entry")
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -3,6 +3,19 @@
 from gooseberrylink.codes import Code
 
 
+def test_unknown_services_leave_nothing_behind(run_deployment, make_job):
+    # Cause: each service that a caller made up got a queue of its own for ever.
+    async def test(deployment):
+        entry = await deployment.add_entry("entry-1")
+        await deployment.add_agent("tank-1")
+        await deployment.wait_connected()
+        answer = await entry.submit(make_job(0.1, service="made-up"))
+        assert answer.code is Code.UNKNOWN_SERVICE
+        assert [lane.service for lane in entry.dispatcher.lanes()] == ["dispatch"]
+
+    run_deployment(test)
+
+
 def test_job_gets_its_whole_answer_in_order(run_deployment, make_job):
     async def test(deployment):
         entry = await deployment.add_entry("entry-1")
