--- a/lab/capacity.py
+++ b/lab/capacity.py
@@ -32,6 +32,7 @@
 _AGENTS = (5, 20, 60)
 _WORKERS = 810
 _CUSTOMERS = 92
+_SETTLE_S = 4.0
 _IDLE_S = 6.0
 _CLAIM_LATENCY_S = 0.005
 
@@ -84,6 +85,8 @@
             backend = FakeBackend(f"w-{number}")
             await deployment.add_agent(f"w-{number}", 8, backend)
         await deployment.wait_connected()
+        # By then every agent has adopted the configuration.
+        await trio.sleep(_SETTLE_S)
         result = await body(deployment)
         await network.close_all()
         nursery.cancel_scope.cancel()
