Drop a parameter that decides nothing

Cause: reading the agent as a newcomer: whether a task may start no longer depends on the entry that sent it, since idle slots are not reserved. Change: the parameter is gone; behaviour is as before, tests pass unchanged. Ruled out: nothing to measure.

--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -238,7 +238,7 @@
                 self._refuse(peer, assign.assignment_id, record)
             return
         self._update_limit()
-        reason = self._reason_not_to_start(peer, assign, now_s)
+        reason = self._reason_not_to_start(assign, now_s)
         if reason is None:
             self._start(peer, record, now_s)
         elif reason in ("full", "full_long") and self._may_hold(assign):
@@ -247,9 +247,7 @@
             self.gate.drop(record, reason, now_s)
             self._refuse(peer, assign.assignment_id, reason)
 
-    def _reason_not_to_start(
-        self, peer: EntryPeer, assign: Assign, now_s: float
-    ) -> str | None:
+    def _reason_not_to_start(self, assign: Assign, now_s: float) -> str | None:
         if not self.ledger.slots:
             return self._reason_for_no_slots() or "full"
         free = self.ledger.idle()
