Print counters as JSON, and test status and counters as commands

Cause: counters alone of the inspecting commands had no machine-readable form, and no test ran these commands. Ruled out: a second format of /metrics.

--- a/gooseberrylink/commands/inspect.py
+++ b/gooseberrylink/commands/inspect.py
@@ -5,6 +5,7 @@
 import trio
 from cleo.commands.command import Command
 from cleo.helpers import option
+from prometheus_client.parser import text_string_to_metric_families
 
 from gooseberrylink.commands.exit_codes import Exit
 from gooseberrylink.operators.http import UnreachableError, call_entry
@@ -88,7 +89,7 @@
     name = "counters"
     description = "Prints the counters of entries, by reason."
     help = "The same text that monitoring scrapes from /metrics."
-    options = [_ENTRIES]
+    options = [_ENTRIES, option("json", None, "Print JSON.")]
 
     def handle(self) -> int:
         """Asks the entries."""
@@ -96,6 +97,7 @@
 
     async def _show(self) -> int:
         exit_code = Exit.OK
+        samples: list[dict] = []
         for address in self.option("entry") or [_DEFAULT_ENTRY]:
             try:
                 _, body = await call_entry(address, "GET", "/metrics")
@@ -103,7 +105,21 @@
                 self.line_error(f"<error>{error}</error>")
                 exit_code = Exit.UNREACHABLE
                 continue
-            for line in body.decode().splitlines():
+            text = body.decode()
+            if self.option("json"):
+                samples += _samples(text)
+                continue
+            for line in text.splitlines():
                 if not line.startswith("#"):
                     self.line(line)
+        if self.option("json"):
+            self.line(json.dumps(samples, indent=2))
         return exit_code
+
+
+def _samples(text: str) -> list[dict]:
+    return [
+        {"name": sample.name, "labels": sample.labels, "value": sample.value}
+        for family in text_string_to_metric_families(text)
+        for sample in family.samples
+    ]
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -168,6 +168,7 @@
 def test_processes_keep_their_promises(processes):
     answer = processes.submit("entry-1", [0.1] * 20, "whole")
     assert answer["results"] == list(range(20))
+    check_commands(processes)
     check_resubmission(processes)
     check_killed_agent(processes)
     check_frozen_agent(processes)
@@ -178,6 +179,18 @@
     assert len(labels) == len(set(labels))
 
 
+def check_commands(processes):
+    def run(*arguments) -> list:
+        entry = ["--entry", processes.entries["entry-1"], "--json"]
+        command = [sys.executable, "-m", "gooseberrylink", *arguments, *entry]
+        return json.loads(subprocess.run(command, capture_output=True).stdout)
+
+    (status,) = run("status")
+    assert [agent["worker"] for agent in status["agents"]] == ["tank-1", "tank-2"]
+    answers = [s for s in run("counters") if s["name"].endswith("_answers_total")]
+    assert [(s["labels"]["reason"], s["value"]) for s in answers] == [("ok", 1.0)]
+
+
 def check_resubmission(processes):
     once = {"repeatable": False}
     thread, answers = processes.submit_in_background("entry-1", [0.5], "once", **once)
