--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -33,6 +33,7 @@
     Status,
 )
 from gooseberrylink.rendezvous import choose_by_weight
+from gooseberrylink.room import Room
 from gooseberrylink.slots import SlotLedger
 
 _JANITOR_TICK_S = 0.2
@@ -77,13 +78,14 @@
         self._long_ids: set[str] = set()
         self._peers: dict[str, EntryPeer] = {}
         self._known_entries: set[str] = set(settings.entries)
+        self._may_dial = False
         self._nursery: trio.Nursery | None = None
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serves entries until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            self._connect_chosen_entries()
+            nursery.start_soon(self._dial_later)
             nursery.start_soon(self._run_janitor)
             task_status.started()
 
@@ -105,9 +107,14 @@
     def attach_backend(self, backend: BackendServer, announced: Announcement) -> None:
         """Starts using a backend server that announced itself."""
         self._backend = backend
+        if backend.can_stop:
+            self._nursery.start_soon(backend.serve)
         self.service = announced.service
         self._announced = announced
         self.failures.reset()
+        self.ledger.beside = Room(0, announced.memory_mb, announced.gpus)
+        for record in self._running.values():
+            self.ledger.beside = self.ledger.beside.minus(record.assign.room)
         self._fit_slots()
         log_event("backend_attached", service=announced.service, slots=announced.slots)
 
@@ -115,14 +122,20 @@
         """Gives no new task to the backend server; running ones go on."""
         if self._backend is None:
             return
+        self._backend.close()
         self._backend = None
         self._fit_slots()
         log_event("backend_detached", service=self.service, reason=reason)
 
+    def backend_changed(self) -> None:
+        """Notes that the backend server opened or closed for new tasks."""
+        self._fit_slots()
+
     def _fit_slots(self) -> None:
         """Uses as many slots as the backend server and the inventory allow."""
         reason = self._reason_for_no_slots()
-        self.ledger.resize(0 if reason else self._allowed_slots())
+        task_units = self._announced.task_units if self._announced else 1
+        self.ledger.resize(0 if reason else self._allowed_slots(), task_units)
         self._update_limit()
         if reason:
             self._drop_all_held(reason)
@@ -139,17 +152,22 @@
             return "draining"
         if self._backend is None:
             return "no_backend"
-        declared = self._declared()
-        if self.configuration.declarations is not None and (
-            declared is None or declared.service != self.service
-        ):
-            return "not_in_inventory"
-        return None
+        if not self._backend.is_open:
+            return "backend_not_open"
+        return None if self._is_listed() else "not_in_inventory"
 
     def _declared(self) -> Worker | None:
         declarations = self.configuration.declarations
         return declarations.worker(self.settings.worker) if declarations else None
 
+    def _is_listed(self) -> bool:
+        """Whether the inventory, if it lists any worker, has this one."""
+        declarations = self.configuration.declarations
+        if declarations is None or not declarations.inventory.workers:
+            return True
+        declared = self._declared()
+        return declared is not None and declared.service == self.service
+
     # What entries say.
 
     def hello(self) -> AgentHello:
@@ -185,7 +203,7 @@
                     self._take_assign(peer, item, frame.basis_s, now_s)
                 case Revoke():
                     for assignment_id in item.assignment_ids:
-                        self._revoke(peer, assignment_id, now_s)
+                        self._revoke(peer, assignment_id, item.is_stop, now_s)
                 case Ack():
                     peer.unacknowledged.difference_update(item.assignment_ids)
                     self.gate.acknowledge(item.assignment_ids, now_s)
@@ -231,7 +249,7 @@
     def _take_assign(
         self, peer: EntryPeer, assign: Assign, basis_s: float, now_s: float
     ) -> None:
-        peer.count_assign()
+        peer.count_assign(assign.room.units)
         record = self.gate.admit(assign, peer.incarnation, basis_s, now_s)
         if isinstance(record, str):
             if record != "duplicate":
@@ -250,10 +268,10 @@
     def _reason_not_to_start(self, assign: Assign, now_s: float) -> str | None:
         if not self.ledger.slots:
             return self._reason_for_no_slots() or "full"
-        free = self.ledger.idle()
+        is_open = self.ledger.fits(assign.room)
         if assign.is_long and not assign.is_holdable:
-            free = self.ledger.idle_long(now_s)
-        if free > 0:
+            is_open = is_open and self.ledger.idle_long(now_s) >= assign.room.units
+        if is_open:
             return None
         if self.failures.is_quarantined:
             return "quarantined"
@@ -284,19 +302,22 @@
         self._running[record.assignment_id] = record
         if assign.is_long:
             self._long_ids.add(record.assignment_id)
-        self.ledger.start(peer.incarnation, assign.is_long, now_s)
+        self.ledger.start(peer.incarnation, assign.is_long, now_s, assign.room)
         peer.running += 1
         self.counters.add("tasks_started")
         self.failures.started(now_s)
-        self._nursery.start_soon(self._run_task, peer, record, self._backend)
+        record.backend = self._backend
+        self._nursery.start_soon(self._run_task, peer, record)
 
-    async def _run_task(
-        self, peer: EntryPeer, record: Record, backend: BackendServer
-    ) -> None:
+    async def _run_task(self, peer: EntryPeer, record: Record) -> None:
         assign = record.assign
         try:
-            outcome = await backend.run(
-                assign.task_id, assign.job_id, assign.customer, assign.payload
+            outcome = await record.backend.run(
+                assign.task_id,
+                assign.job_id,
+                assign.customer,
+                assign.payload,
+                assign.attempt,
             )
         except Exception as error:
             log_event("backend_client_failed", "ERROR", error=repr(error))
@@ -312,7 +333,8 @@
         peer.running -= 1
         is_long = record.assignment_id in self._long_ids
         self._long_ids.discard(record.assignment_id)
-        other = self.ledger.end(peer.incarnation, is_long, now_s)
+        room = record.assign.room
+        other = self.ledger.end(peer.incarnation, is_long, now_s, room)
         for known in self._peers.values():
             if other is not None and known.incarnation == other:
                 self.counters.add("grants")
@@ -324,7 +346,7 @@
         self.counters.add("tasks_ended", outcome.status.name.lower())
         if outcome.status is Status.DONE:
             self.failures.succeeded(record.started_s)
-        else:
+        elif outcome.status is not Status.STOPPED:
             self._note_failure(assign, now_s)
         self._update_limit()
 
@@ -355,21 +377,44 @@
             peer.outbox.put(result)
 
     def _start_held(self, now_s: float) -> None:
-        while self._held and self.ledger.idle() > 0:
-            record = self._held.popleft()
-            if record.state is not RecordState.HELD:
+        while self._held:
+            if self._held[0].state is not RecordState.HELD:
+                self._held.popleft()
                 continue
+            if not self.ledger.fits(self._held[0].assign.room):
+                return
+            record = self._held.popleft()
             peer = self._peer_of(record)
             if peer is None:
                 self.gate.drop(record, "entry_gone", now_s)
                 continue
             self._start(peer, record, now_s)
 
-    def _revoke(self, peer: EntryPeer, assignment_id: str, now_s: float) -> None:
+    def _revoke(
+        self, peer: EntryPeer, assignment_id: str, is_stop: bool, now_s: float
+    ) -> None:
         result = self.gate.revoke(assignment_id, now_s)
+        if is_stop and result.status is Status.RUNNING:
+            self._stop(assignment_id, "revoked")
         self.counters.add("revokes", result.status.name.lower())
         peer.outbox.put(result)
 
+    def _stop(self, assignment_id: str, reason: str) -> None:
+        """Stops a running task, if its backend server can."""
+        record = self._running.get(assignment_id)
+        if record is None or not record.backend.can_stop or record.is_stopping:
+            return
+        record.is_stopping = True
+        self.counters.add("tasks_stopped", reason)
+        log_event("task_stopping", task=record.assign.task_id, reason=reason)
+        record.backend.stop(record.assign.task_id)
+
+    def _stop_unleased(self, now_s: float) -> None:
+        """Stops tasks of entries that fell silent; these may place them again."""
+        for assignment_id, record in self._running.items():
+            if now_s > self.gate.lease_end_s(record.entry):
+                self._stop(assignment_id, "lease_lapsed")
+
     def _drop_all_held(self, reason: str) -> None:
         now_s = trio.current_time()
         while self._held:
@@ -388,7 +433,14 @@
 
     # Upkeep.
 
+    async def _dial_later(self) -> None:
+        await trio.sleep(self.settings.dial_after_s)
+        self._may_dial = True
+        self._connect_chosen_entries()
+
     def _connect_chosen_entries(self) -> None:
+        if not self._may_dial:
+            return
         chosen = choose_by_weight(
             self.settings.worker, self._known_entries, self.settings.max_entries
         )
@@ -424,6 +476,7 @@
             is_busy = self._running or self._held or self.failures.is_quarantined
             await trio.sleep(_JANITOR_TICK_S if is_busy else _IDLE_JANITOR_TICK_S)
             now_s = trio.current_time()
+            self._stop_unleased(now_s)
             self._update_limit()
             self._note_overruns(now_s)
             self._start_held(now_s)
@@ -435,7 +488,7 @@
             ran_s = now_s - record.started_s
             if ran_s > long_after_s and assignment_id not in self._long_ids:
                 self._long_ids.add(assignment_id)
-                self.ledger.overrun(now_s)
+                self.ledger.overrun(now_s, record.assign.room)
                 self.counters.add("overruns")
 
 
--- a/gooseberrylink/backends/http_client.py
+++ b/gooseberrylink/backends/http_client.py
@@ -22,6 +22,9 @@
     "X-Not-Started: 1" when it took nothing; anything else is a failure.
     """
 
+    can_stop = False
+    is_open = True
+
     def __init__(self, announcement: Announcement, run_timeout_s: float):
         host, _, port = announcement.address.rpartition(":")
         self._origin = httpcore.Origin(b"http", host.encode(), int(port))
@@ -30,7 +33,7 @@
         self._idle: list[httpcore.AsyncHTTPConnection] = []
 
     async def run(
-        self, task_id: str, job_id: str, customer: str, payload: Any
+        self, task_id: str, job_id: str, customer: str, payload: Any, attempt: int = 1
     ) -> BackendOutcome:
         """See BackendServer."""
         body = msgspec.json.encode(
@@ -59,6 +62,15 @@
             outcome.run_s = trio.current_time() - sent_s[0]
         return outcome
 
+    async def serve(self) -> None:
+        """See BackendServer; nothing goes on beside the tasks."""
+
+    def close(self) -> None:
+        """See BackendServer."""
+
+    def stop(self, task_id: str) -> None:
+        """See BackendServer; this kind can't stop a task."""
+
     async def aclose(self) -> None:
         """Closes all idle connections."""
         while self._idle:
--- /dev/null
+++ b/gooseberrylink/backends/incarnations.py
@@ -0,0 +1,99 @@
+"""Follows the incarnations of the backend servers beside an agent."""
+
+import dataclasses
+from collections.abc import Callable
+from typing import Protocol
+
+from gooseberrylink.agent import Agent
+from gooseberrylink.backends.leased import LeasedBackend
+from gooseberrylink.backends.server import Announcement
+from gooseberrylink.logs import log_event
+
+
+class AnnouncementTaker(Protocol):
+    """Gets what backend servers say of themselves."""
+
+    def take(self, announcement: Announcement, sequence: int, is_leaving: bool) -> None:
+        """Takes a heartbeat; sequence rises within an incarnation."""
+
+    def leave(self, incarnation: str) -> None:
+        """Takes the last word of a backend server that ends."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Current:
+    """The incarnation that was announced last.
+
+    Attributes:
+        is_leaving: Whether it takes no new tasks.
+    """
+
+    announcement: Announcement
+    backend: LeasedBackend
+    sequence: int
+    is_leaving: bool = False
+
+
+class Incarnations:
+    """Attaches the newest incarnation to the agent; see AnnouncementTaker."""
+
+    def __init__(
+        self, agent: Agent, make_backend: Callable[[Announcement], LeasedBackend]
+    ):
+        self._agent = agent
+        self._make_backend = make_backend
+        self._current: _Current | None = None
+
+    def take(self, announcement: Announcement, sequence: int, is_leaving: bool) -> None:
+        """See AnnouncementTaker."""
+        current = self._current
+        if current is None or self._is_newer(announcement, current.announcement):
+            if not is_leaving:
+                self._replace(announcement, sequence)
+            return
+        known = current.announcement
+        if (known.incarnation, known.born_ms) != (
+            announcement.incarnation,
+            announcement.born_ms,
+        ):
+            self._agent.counters.add("heartbeats_stale", "older_incarnation")
+            return
+        if sequence <= current.sequence:
+            self._agent.counters.add("heartbeats_stale", "older_sequence")
+            return
+        current.sequence = sequence
+        if is_leaving:
+            self._leave(current, "draining")
+
+    def leave(self, incarnation: str) -> None:
+        """See AnnouncementTaker."""
+        current = self._current
+        if current is not None and current.announcement.incarnation == incarnation:
+            self._leave(current, "left")
+
+    def _is_newer(self, announcement: Announcement, known: Announcement) -> bool:
+        if announcement.born_ms != known.born_ms:
+            return announcement.born_ms > known.born_ms
+        return announcement.incarnation != known.incarnation
+
+    def _replace(self, announcement: Announcement, sequence: int) -> None:
+        current = self._current
+        if current is not None:
+            self._agent.detach_backend("replaced")
+            if current.announcement.address == announcement.address:
+                # Two can't listen there, so the former one is gone.
+                current.backend.vanish("replaced")
+        backend = self._make_backend(announcement)
+        self._current = _Current(announcement, backend, sequence)
+        log_event(
+            "backend_announced",
+            incarnation=announcement.incarnation,
+            born_ms=announcement.born_ms,
+            units=announcement.slots,
+        )
+        self._agent.attach_backend(backend, announcement)
+
+    def _leave(self, current: _Current, reason: str) -> None:
+        if not current.is_leaving:
+            current.is_leaving = True
+            self._agent.detach_backend(reason)
--- /dev/null
+++ b/gooseberrylink/backends/leased.py
@@ -0,0 +1,426 @@
+"""Runs tasks at a backend server that keeps them alive only under a lease.
+
+The backend server outlives the agent beside it. It may carry out an order that
+it did not answer, and seconds later. So a run counts as ended only if the
+backend server lists its end, if it stopped listing the run after it had
+confirmed the run's start or stop, or if the last lease is certainly over.
+"""
+
+import dataclasses
+import enum
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import trio
+
+from gooseberrylink.backends.server import BackendOutcome
+from gooseberrylink.counters import Counters
+from gooseberrylink.logs import log_event
+from gooseberrylink.peers.messages import Status
+
+# A backend server's clock may be this much slow, as the platform says.
+_CLOCK_DRIFT = 0.02
+# Under the longest lease that the platform grants, 1 s.
+LEASE_S = 0.9
+# Milliseconds, as tokens are taken from the time of day; above any clock step.
+_FENCE_STEP = 60_000
+
+
+class StartReply(enum.Enum):
+    """What became of the order to start a run."""
+
+    STARTED = "started"
+    FENCED = "fenced"
+    SUPERSEDED = "superseded"
+    LATE = "late"
+    FULL = "full"
+    UNHEALTHY = "unhealthy"
+    MALFORMED = "malformed"
+    OTHER_INCARNATION = "other_incarnation"
+    UNANSWERED = "unanswered"
+
+
+class OrderReply(enum.Enum):
+    """What became of another order."""
+
+    DONE = "done"
+    FENCED = "fenced"
+    OTHER_INCARNATION = "other_incarnation"
+    UNANSWERED = "unanswered"
+
+
+class EndKind(enum.Enum):
+    """How a run ended.
+
+    NEVER_BEGAN: It did not start, and never will.
+    VANISHED: The backend server was replaced, or lists it no more.
+    """
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    NEVER_BEGAN = "never_began"
+    VANISHED = "vanished"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RunKey:
+    """Names one run of a task at a backend server.
+
+    Attributes:
+        name: The task, as the backend server calls it.
+        attempt: Number of the run; rises over all runs of the task.
+    """
+
+    name: str
+    attempt: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Renewal:
+    """What an order to renew the lease says.
+
+    Attributes:
+        fence: Fencing token of this incarnation of the agent.
+        seen_up_to: Number of the last end that was taken note of.
+        until_ms: End of the lease on the backend server's clock; None while
+            that clock is unknown.
+        wait_s: How long the answer may wait for an end.
+    """
+
+    fence: int
+    seen_up_to: int
+    until_ms: int | None
+    wait_s: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RunEnd:
+    """An end that the backend server lists, with its number."""
+
+    number: int
+    key: RunKey
+    kind: EndKind
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class WorkerView:
+    """What a backend server says of its runs.
+
+    Attributes:
+        clock_ms: Its clock.
+        progress: Share done of each running task, 0 to 1.
+        ends: Ends that were not taken note of.
+        is_whole: Whether all such ends are listed.
+    """
+
+    clock_ms: int
+    progress: dict[RunKey, float]
+    ends: list[RunEnd]
+    is_whole: bool = True
+
+
+class LeasedWorker(Protocol):
+    """Carries orders to a backend server; decides nothing."""
+
+    def key_of(self, payload: Any, attempt: int) -> RunKey:
+        """Names the run of a task with this payload."""
+
+    async def start(
+        self, key: RunKey, payload: Any, until_ms: int, fence: int
+    ) -> StartReply:
+        """Orders a run; never raises for a backend server that is gone."""
+
+    async def stop(self, key: RunKey, fence: int) -> OrderReply:
+        """Ends a run; one that did not begin will then never begin."""
+
+    async def renew(self, renewal: Renewal) -> WorkerView | OrderReply:
+        """Renews the lease of all runs, and asks how they are."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LeaseSettings:
+    """Times of the lease between an agent and its backend server.
+
+    Attributes:
+        lease_s: Lease given with each order.
+        stop_s: Time that a stop takes at most, as the platform says.
+        busy_wait_s: How long a renewal waits for an end while tasks run.
+        idle_wait_s: The same while none does.
+        retry_s: Pause after an order without an answer.
+        suspect_s: Silence after which nothing new is started.
+        margin_s: Added when the end of a lease is computed.
+    """
+
+    lease_s: float = LEASE_S
+    stop_s: float = 0.05
+    busy_wait_s: float = 0.2
+    idle_wait_s: float = 0.25
+    retry_s: float = 0.03
+    suspect_s: float = 0.5
+    margin_s: float = 0.05
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Run:
+    """A run that was ordered and whose end is not known.
+
+    Attributes:
+        begun_s: When it was known to have begun; None before.
+        barred_s: From when on it is certainly stopped or barred; None before.
+    """
+
+    key: RunKey
+    task_id: str
+    ordered_s: float
+    begun_s: float | None = None
+    barred_s: float | None = None
+    progress: float = 0.0
+    end: EndKind | None = None
+    is_stopping: bool = False
+    ended: trio.Event = dataclasses.field(default_factory=trio.Event)
+
+
+class LeasedBackend:
+    """See BackendServer.
+
+    Attributes:
+        is_open: Whether new runs may be ordered.
+        can_stop: See BackendServer.
+    """
+
+    can_stop = True
+
+    def __init__(
+        self,
+        worker: LeasedWorker,
+        fence: int,
+        settings: LeaseSettings,
+        counters: Counters,
+        on_change: Callable[[], None],
+    ):
+        self.is_open = False
+        self._worker = worker
+        self._fence = fence
+        self._settings = settings
+        self._counters = counters
+        self._on_change = on_change
+        self._runs: dict[RunKey, _Run] = {}
+        self._seen_up_to = 0
+        self._clock_ms = 0
+        self._clock_s = 0.0
+        self._is_clock_known = False
+        self._heard_s = trio.current_time()
+        self._lease_end_s = 0.0
+        self._is_closed = False
+        self._nursery: trio.Nursery | None = None
+
+    async def serve(self) -> None:
+        """Renews the lease until closed and the last run has ended."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self._watch)
+            while not (self._is_closed and not self._runs):
+                await self._renew_once()
+            nursery.cancel_scope.cancel()
+
+    def close(self) -> None:
+        """Starts nothing new; what runs goes on under the lease."""
+        self._is_closed = True
+        self.is_open = False
+
+    def vanish(self, reason: str) -> None:
+        """Ends all runs, as the backend server's incarnation is gone."""
+        self.close()
+        log_event("backend_vanished", reason=reason, runs=len(self._runs))
+        for run in list(self._runs.values()):
+            self._finish(run, EndKind.VANISHED)
+
+    # Tasks.
+
+    async def run(
+        self, task_id: str, job_id: str, customer: str, payload: Any, attempt: int
+    ) -> BackendOutcome:
+        """See BackendServer."""
+        if not self.is_open:
+            return BackendOutcome(Status.NOT_STARTED, reason="backend_not_open")
+        now_s = trio.current_time()
+        run = _Run(self._worker.key_of(payload, attempt), task_id, now_s)
+        if run.key in self._runs:
+            return BackendOutcome(Status.NOT_STARTED, reason="run_in_progress")
+        self._runs[run.key] = run
+        try:
+            return await self._run(run, payload)
+        finally:
+            del self._runs[run.key]
+
+    def stop(self, task_id: str) -> None:
+        """See BackendServer."""
+        for run in self._runs.values():
+            if run.task_id == task_id:
+                self._stop_soon(run)
+
+    async def _run(self, run: _Run, payload: Any) -> BackendOutcome:
+        reply = await self._start(run, payload)
+        self._counters.add("run_orders", reply.value)
+        if reply is StartReply.MALFORMED:
+            return BackendOutcome(Status.FAILED, reason="backend_refused_payload")
+        if reply is StartReply.STARTED:
+            run.begun_s = run.begun_s or trio.current_time()
+        elif reply is StartReply.UNANSWERED:
+            log_event("run_unanswered", "WARNING", run=run.key.name)
+            self._stop_soon(run)
+        elif run.begun_s is None:
+            return BackendOutcome(Status.NOT_STARTED, reason=reply.value)
+        await run.ended.wait()
+        return self._outcome(run)
+
+    async def _start(self, run: _Run, payload: Any) -> StartReply:
+        for _ in range(2):
+            self._note_lease()
+            reply = await self._worker.start(
+                run.key, payload, self._until_ms(), self._fence
+            )
+            if reply is not StartReply.FENCED:
+                return reply
+            self._raise_fence()
+        return reply
+
+    def _outcome(self, run: _Run) -> BackendOutcome:
+        run_s = trio.current_time() - run.ordered_s
+        reason = run.end.value
+        if run.end is EndKind.DONE:
+            return BackendOutcome(Status.DONE, run_s=run_s)
+        if run.end is EndKind.FAILED:
+            return BackendOutcome(Status.FAILED, reason="task_failed", run_s=run_s)
+        if run.end is EndKind.NEVER_BEGAN:
+            return BackendOutcome(Status.NOT_STARTED, reason=reason)
+        return BackendOutcome(Status.STOPPED, reason=reason, run_s=run_s)
+
+    def _finish(self, run: _Run, kind: EndKind) -> None:
+        if run.end is None:
+            run.end = kind
+            self._counters.add("run_ends", kind.value)
+            run.ended.set()
+
+    def _stop_soon(self, run: _Run) -> None:
+        if not run.is_stopping and self._nursery is not None:
+            run.is_stopping = True
+            self._nursery.start_soon(self._stop, run)
+
+    async def _stop(self, run: _Run) -> None:
+        while run.end is None and run.barred_s is None:
+            reply = await self._worker.stop(run.key, self._fence)
+            if reply is OrderReply.DONE:
+                run.barred_s = trio.current_time() + self._settings.stop_s
+            elif reply is OrderReply.FENCED:
+                self._raise_fence()
+            elif reply is OrderReply.OTHER_INCARNATION:
+                self.vanish("other_incarnation")
+            else:
+                await trio.sleep(self._settings.retry_s)
+
+    # The lease.
+
+    async def _renew_once(self) -> None:
+        settings = self._settings
+        wait_s = settings.busy_wait_s if self._runs else settings.idle_wait_s
+        until_ms = self._until_ms() if self._is_clock_known else None
+        asked_s = trio.current_time()
+        if until_ms is not None:
+            self._note_lease()
+        else:
+            wait_s = 0.0
+        renewal = Renewal(self._fence, self._seen_up_to, until_ms, wait_s)
+        view = await self._worker.renew(renewal)
+        if isinstance(view, WorkerView):
+            self._heard_s = trio.current_time()
+            self._apply(view, asked_s)
+            return
+        self._counters.add("renewals_failed", view.value)
+        if view is OrderReply.FENCED:
+            self._raise_fence()
+        elif view is OrderReply.OTHER_INCARNATION:
+            self.vanish("other_incarnation")
+        self._end_lapsed()
+        await trio.sleep(settings.retry_s)
+
+    def _apply(self, view: WorkerView, asked_s: float) -> None:
+        self._clock_ms, self._clock_s = view.clock_ms, self._heard_s
+        self._is_clock_known = True
+        for end in view.ends:
+            self._seen_up_to = max(self._seen_up_to, end.number)
+            run = self._runs.get(end.key)
+            if run is not None:
+                self._finish(run, end.kind)
+        strays = self._note_running(view)
+        if view.is_whole:
+            self._end_unlisted(view, asked_s)
+        self._set_open(not strays and not self._is_closed)
+
+    def _note_running(self, view: WorkerView) -> int:
+        """Notes progress; stops runs that nobody here ordered.
+
+        Returns:
+            How many of these there were.
+        """
+        strays = 0
+        for key, progress in view.progress.items():
+            run = self._runs.get(key)
+            if run is not None:
+                run.begun_s = run.begun_s or self._heard_s
+                run.progress = progress
+                continue
+            strays += 1
+            log_event("run_not_ours", run=key.name, attempt=key.attempt)
+            self._nursery.start_soon(self._worker.stop, key, self._fence)
+        return strays
+
+    def _end_unlisted(self, view: WorkerView, asked_s: float) -> None:
+        """Ends runs that can't be running, as they are not listed."""
+        for run in list(self._runs.values()):
+            if run.key in view.progress or run.end is not None:
+                continue
+            if run.barred_s is not None and asked_s > run.barred_s:
+                is_begun = run.begun_s is not None
+                self._finish(run, EndKind.VANISHED if is_begun else EndKind.NEVER_BEGAN)
+            elif run.begun_s is not None and asked_s > run.begun_s:
+                self._finish(run, EndKind.VANISHED)
+
+    def _end_lapsed(self) -> None:
+        """Ends runs whose lease is over, while the backend server is silent."""
+        if trio.current_time() <= self._lease_end_s:
+            return
+        for run in list(self._runs.values()):
+            # One whose order had no answer may still begin.
+            if run.begun_s is not None:
+                self._finish(run, EndKind.LAPSED)
+
+    async def _watch(self) -> None:
+        """Closes the backend server for new runs while it is silent."""
+        while True:
+            await trio.sleep(self._settings.suspect_s / 4)
+            if trio.current_time() - self._heard_s > self._settings.suspect_s:
+                self._set_open(False)
+
+    def _set_open(self, is_open: bool) -> None:
+        if is_open == self.is_open:
+            return
+        self.is_open = is_open
+        log_event("backend_opened" if is_open else "backend_silent")
+        self._on_change()
+
+    def _until_ms(self) -> int:
+        elapsed_s = trio.current_time() - self._clock_s
+        return self._clock_ms + round(1000 * (elapsed_s + self._settings.lease_s))
+
+    def _note_lease(self) -> None:
+        settings = self._settings
+        lease_s = settings.lease_s * (1 + _CLOCK_DRIFT) + settings.margin_s
+        self._lease_end_s = trio.current_time() + lease_s
+
+    def _raise_fence(self) -> None:
+        # A clock that stepped back gave a lower token than an earlier life's.
+        self._fence += _FENCE_STEP
+        log_event("fence_raised", "WARNING", fence=self._fence)
--- a/gooseberrylink/bench/demo.py
+++ b/gooseberrylink/bench/demo.py
@@ -1,6 +1,5 @@
 """Runs the whole path on loopback: HTTP callers to HTTP backend servers."""
 
-import dataclasses
 
 import httpcore
 import msgspec
@@ -96,7 +95,10 @@
             "customer": request.customer,
             "service": request.service,
             "deadline_s": request.deadline_s,
-            "tasks": [dataclasses.asdict(task) for task in request.tasks],
+            "tasks": [
+                {"payload": task.payload, "declared_s": task.declared_s}
+                for task in request.tasks
+            ],
         }
         address = self._deployment.entry_daemons[entry_number].address
         response = await self._pool.request(
--- a/gooseberrylink/callers/api.py
+++ b/gooseberrylink/callers/api.py
@@ -8,14 +8,14 @@
 from starlette.responses import JSONResponse, PlainTextResponse, Response
 from starlette.routing import Route
 
+from gooseberrylink.callers.disconnects import run_until_disconnect
 from gooseberrylink.callers.models import answer_body, parse_job
 from gooseberrylink.callers.status_codes import http_status
 from gooseberrylink.codes import Code
 from gooseberrylink.entry import Entry
 from gooseberrylink.exceptions import RefusedError
-from gooseberrylink.logs import log_event
 from gooseberrylink.operators.status import entry_status
-from gooseberrylink.types import Answer, JobRequest
+from gooseberrylink.types import Answer
 
 _BODY_LIMIT_BEFORE_CONFIG_BYTES = 1024 * 1024
 _METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
@@ -48,7 +48,8 @@
             return _response(Answer(error.code, error.detail))
         except ClientDisconnect:
             return Response(status_code=400)
-        return _response(await self._run_until_disconnect(request, job))
+        answer = await run_until_disconnect(self._entry, job, request.receive)
+        return _response(answer)
 
     async def _read_body(self, request: Request) -> bytes:
         limit = _BODY_LIMIT_BEFORE_CONFIG_BYTES
@@ -68,29 +69,6 @@
             raise RefusedError(Code.BODY_TOO_SLOW, "the body did not arrive in time")
         return b"".join(chunks)
 
-    async def _run_until_disconnect(self, request: Request, job: JobRequest) -> Answer:
-        """Runs a job; a caller that hangs up cancels it."""
-        answer = Answer(Code.CANCELLED_MAY_HAVE_RUN, "the caller hung up")
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._cancel_on_disconnect, request, nursery)
-            try:
-                answer = await self._entry.submit(job)
-            except Exception as error:
-                log_event("job_crashed", "ERROR", error=repr(error))
-                answer = Answer(Code.INTERNAL_ERROR, "internal error")
-            nursery.cancel_scope.cancel()
-        return answer
-
-    async def _cancel_on_disconnect(
-        self, request: Request, nursery: trio.Nursery
-    ) -> None:
-        while True:
-            message = await request.receive()
-            if message["type"] == "http.disconnect":
-                self._entry.counters.add("callers_hung_up")
-                nursery.cancel_scope.cancel()
-                return
-
     async def _cancel(self, request: Request) -> Response:
         customer = request.query_params.get("customer", "")
         job_id = request.path_params["job_id"]
--- /dev/null
+++ b/gooseberrylink/callers/disconnects.py
@@ -0,0 +1,47 @@
+"""Runs a caller's job for as long as the caller waits for it."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import trio
+
+from gooseberrylink.codes import Code
+from gooseberrylink.entry import Entry
+from gooseberrylink.logs import log_event
+from gooseberrylink.types import Answer, JobRequest
+
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+
+
+async def run_until_disconnect(
+    entry: Entry, job: JobRequest, receive: Receive
+) -> Answer:
+    """Runs a job; a caller that hangs up cancels it.
+
+    Args:
+        entry: Where it runs.
+        job: The job.
+        receive: Gives the next ASGI message, after the request's body.
+    """
+    answer = Answer(Code.CANCELLED_MAY_HAVE_RUN, "the caller hung up")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_cancel_on_disconnect, entry, job, receive, nursery)
+        try:
+            answer = await entry.submit(job)
+        except Exception as error:
+            log_event("job_crashed", "ERROR", job=job.job_id, error=repr(error))
+            answer = Answer(Code.INTERNAL_ERROR, "internal error")
+        nursery.cancel_scope.cancel()
+    return answer
+
+
+async def _cancel_on_disconnect(
+    entry: Entry, job: JobRequest, receive: Receive, nursery: trio.Nursery
+) -> None:
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            entry.counters.add("callers_hung_up")
+            log_event("caller_hung_up", job=job.job_id)
+            nursery.cancel_scope.cancel()
+            return
--- a/gooseberrylink/config.py
+++ b/gooseberrylink/config.py
@@ -57,8 +57,11 @@
     Attributes:
         worker: Name of the worker that the agent runs on, as in the inventory.
         listen: Where the backend server beside it announces itself.
-        entries: Addresses of some entries; the others are learned from them.
+        entries: Addresses of some entries; the others are learned from them, or
+            all of them from elsewhere.
         max_entries: How many entries it links to.
+        dial_after_s: How long after its start it links to entries, so that
+            runs which an earlier incarnation ordered have ended.
         retention_s: How long results wait for their entry; must exceed the
             longest deadline that the rules allow.
         announcement_valid_s: How long an announcement holds without renewal.
@@ -69,8 +72,9 @@
 
     worker: Name
     listen: Address = "127.0.0.1:0"
-    entries: list[Address] = Field(min_length=1)
+    entries: list[Address] = []
     max_entries: int = Field(default=8, ge=1)
+    dial_after_s: float = Field(default=0.0, ge=0)
     retention_s: Seconds = 600.0
     max_records: int = Field(default=20_000, ge=1)
     max_held: int = Field(default=1_000, ge=0)
@@ -110,6 +114,9 @@
         revoke_wait_s: How long a late answer waits to learn what started.
         claim_group_s: How long claims are collected into one transaction.
         retry_share: Retries allowed for each assignment.
+        rerun_after_silence_s: How long after its link closed an agent's tasks
+            have certainly ended: the leases of the agent and of the backend
+            server, one after the other.
     """
 
     entry: Name
@@ -125,3 +132,4 @@
     claim_group_s: Seconds = 0.004
     retry_share: float = Field(default=0.5, ge=0)
     body_timeout_s: Seconds = 10.0
+    rerun_after_silence_s: Seconds = 30.0
--- a/gooseberrylink/daemon.py
+++ b/gooseberrylink/daemon.py
@@ -1,6 +1,9 @@
 """Runs an entry or an agent with its listeners, from start to shutdown."""
 
+import dataclasses
 import signal
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
 
 import trio
 
@@ -13,12 +16,28 @@
 from gooseberrylink.entry import Entry
 from gooseberrylink.http_server import serve_http
 from gooseberrylink.logs import log_event
+from gooseberrylink.operators.source import ConfigurationSource
 from gooseberrylink.peers.grpc_link import GrpcDialer, GrpcListener, GrpcThread
 from gooseberrylink.platform.client import HttpPlatform
 
 _WRITE_OUT_S = 5.0
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class EntryParts:
+    """What differs between the interfaces that an entry can have.
+
+    Attributes:
+        make_app: Makes the ASGI application that callers reach.
+        source: Where configurations come from; None for the platform's table.
+        beside: What else runs beside the entry until it stops.
+    """
+
+    make_app: Callable[[Entry], Any] = lambda entry: CallersApi(entry).app
+    source: ConfigurationSource | None = None
+    beside: Callable[[Entry], Awaitable[None]] | None = None
+
+
 class EntryDaemon:
     """An entry with its HTTP and gRPC listeners.
 
@@ -26,12 +45,19 @@
         address: Where callers connect, once started.
     """
 
-    def __init__(self, settings: EntrySettings, thread: GrpcThread):
+    def __init__(
+        self,
+        settings: EntrySettings,
+        thread: GrpcThread,
+        parts: EntryParts = EntryParts(),
+        counters: Counters | None = None,
+    ):
         self._settings = settings
+        self._parts = parts
         self._listener = GrpcListener(thread)
-        counters = Counters("entry", settings.entry)
+        counters = counters or Counters("entry", settings.entry)
         platform = HttpPlatform(settings.platform, counters)
-        self.entry = Entry(settings, platform, counters)
+        self.entry = Entry(settings, platform, counters, source=parts.source)
         self.address = ""
         self._stop = trio.Event()
         self._stopped = trio.Event()
@@ -44,6 +70,8 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(self.entry.run)
             nursery.start_soon(self._accept_links)
+            if self._parts.beside is not None:
+                nursery.start_soon(self._parts.beside, self.entry)
             self.address = await nursery.start(self._serve_callers)
             log_event(
                 "entry_started",
@@ -73,7 +101,7 @@
 
     async def _serve_callers(self, task_status) -> None:
         """Serves callers until told to stop and the last answer is written."""
-        app = CallersApi(self.entry).app
+        app = self._parts.make_app(self.entry)
         settings = self._settings
         await serve_http(
             app, settings.listen, self._stop.wait, _WRITE_OUT_S, task_status
@@ -134,7 +162,17 @@
             self._stop.set()
 
 
-async def run_until_signal(daemon: EntryDaemon | AgentDaemon) -> None:
+class Daemon(Protocol):
+    """A process with listeners."""
+
+    async def run(self, task_status) -> None:
+        """Serves until shut down or cancelled."""
+
+    async def shut_down(self) -> None:
+        """Stops without cutting off work in progress."""
+
+
+async def run_until_signal(daemon: Daemon) -> None:
     """Runs a daemon; SIGTERM or SIGINT drains it, a second one hurries."""
     async with trio.open_nursery() as nursery:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -1,6 +1,9 @@
 """Takes jobs through their life at an entry: queue, assignment, answer."""
 
+import collections
+import dataclasses
 import itertools
+import math
 import random
 
 import trio
@@ -10,6 +13,7 @@
 from gooseberrylink.config import EntrySettings
 from gooseberrylink.counters import Counters
 from gooseberrylink.lane import Lane
+from gooseberrylink.logs import log_event
 from gooseberrylink.operators.configuration import Configuration
 from gooseberrylink.peers.agent_peer import AgentPeer, AssignHints
 from gooseberrylink.peers.messages import Result, Status
@@ -27,6 +31,20 @@
 _PRESSING_S = 0.3
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Silence:
+    """An agent whose link closed while it had tasks.
+
+    Attributes:
+        incarnation: The agent's incarnation at that time.
+        leases_over_s: When none of these tasks can be running any more.
+    """
+
+    peer: AgentPeer
+    incarnation: str
+    leases_over_s: float
+
+
 class Dispatcher:
     """The jobs of one entry.
 
@@ -61,6 +79,7 @@
         self._admission = Admission(
             configuration, self.quotas, self.runtimes, self._policy.orders_queue
         )
+        self._silences: collections.deque[_Silence] = collections.deque()
         self._nursery: trio.Nursery | None = None
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -70,6 +89,7 @@
             task_status.started()
             while True:
                 await trio.sleep(_ASK_TICK_S)
+                self._end_silences()
                 self._ask_for_slots()
 
     # What callers ask.
@@ -98,6 +118,8 @@
         )
         self._admission.plan(job, lane)
         self.jobs[job.job_id] = job
+        for spec in request.tasks:
+            lane.note_units(spec.room.units)
         return job
 
     async def run_job(self, job: Job) -> Answer:
@@ -158,7 +180,8 @@
                 by_worker.setdefault(task.worker, []).append(task.assignment_id)
         for peer in lane.peers:
             if peer.worker in by_worker:
-                peer.revoke(by_worker[peer.worker])
+                is_stop = job.request.reruns is not None
+                peer.revoke(by_worker[peer.worker], is_stop)
 
     # What agents say.
 
@@ -229,9 +252,60 @@
             self._end_flight(peer, task)
             task.state = TaskState.UNKNOWN
             self._counters.add("tasks_in_doubt", "agent_lost")
+            if self._rerun(task, "agent_lost"):
+                continue
             detail = f"worker {peer.worker} was restarted during task {task.index}"
             self._fail(task.job, Answer(Code.AGENT_LOST, detail))
 
+    def agent_silent(self, peer: AgentPeer) -> None:
+        """Handles a link that closed: its agent may be gone for good."""
+        if peer.flights:
+            over_s = trio.current_time() + self.settings.rerun_after_silence_s
+            self._silences.append(_Silence(peer, peer.incarnation, over_s))
+
+    def _end_silences(self) -> None:
+        """Takes tasks back from silent agents once they can't run any more."""
+        now_s = trio.current_time()
+        while self._silences and self._silences[0].leases_over_s <= now_s:
+            silence = self._silences.popleft()
+            peer = silence.peer
+            if not peer.is_connected and peer.incarnation == silence.incarnation:
+                self._rerun_flights(peer)
+
+    def _rerun_flights(self, peer: AgentPeer) -> None:
+        for task in list(peer.flights.values()):
+            if task.job.request.reruns is None:
+                continue
+            self._end_flight(peer, task)
+            task.state = TaskState.UNKNOWN
+            self._counters.add("tasks_in_doubt", "leases_over")
+            self._rerun(task, "leases_over")
+
+    def _rerun(self, task: Task, reason: str) -> bool:
+        """Starts a task again whose last run has certainly ended.
+
+        Returns:
+            Whether the policy of its job allows that.
+        """
+        job = task.job
+        if job.request.reruns is None:
+            return False
+        job.has_run = True
+        self._counters.add("reruns", reason)
+        log_event(
+            "task_rerun",
+            job=job.request.job_id or job.job_id,
+            task=task.index,
+            worker=task.worker,
+            attempt=task.attempts,
+            reason=reason,
+        )
+        if job.job_id in self.jobs:
+            self._requeue(task)
+        else:
+            self._notify(job)
+        return True
+
     def _end_flight(self, peer: AgentPeer, task: Task) -> None:
         del peer.flights[task.assignment_id]
         self.lane(task.job.request.service).in_flight -= 1
@@ -245,8 +319,18 @@
             job.unfinished -= 1
             self._notify(job)
             return
-        if result.status is Status.FAILED:
+        if result.status is Status.STOPPED:
+            task.state = TaskState.RAN
+            if self._rerun(task, result.reason):
+                return
+            code = Code.BACKEND_BROKE
+        elif result.status is Status.FAILED:
             task.state = TaskState.RAN
+            task.failures += 1
+            policy = job.request.reruns
+            if policy is not None and task.failures < policy.max_failures:
+                self._rerun(task, result.reason)
+                return
             code = Code.TASK_FAILED
         else:
             task.state = TaskState.UNKNOWN
@@ -303,7 +387,7 @@
             return
         now_s = trio.current_time()
         for peer in lane.peers_to_ask(now_s):
-            peer.note_demand(1, now_s)
+            peer.note_demand(math.ceil(lane.task_units), now_s)
             peer.outbox.poke()
 
     def _place_next(self, lane: Lane) -> bool:
@@ -325,6 +409,7 @@
         task.state = TaskState.ASSIGNED
         task.worker = peer.worker
         task.attempts += 1
+        task.assigned_s = trio.current_time()
         lane.in_flight += 1
         if task.attempts == 1:
             self._budget.earn()
@@ -343,7 +428,7 @@
         soonest_s = now_s + task.expected_s / _INFEASIBLE_SPEED
         if soonest_s < task.job.expires_s:
             return False
-        return all(t.state is TaskState.QUEUED for t in task.job.tasks)
+        return task.job.is_untouched()
 
     def _give_up(self, job: Job) -> None:
         self._release(job)
--- a/gooseberrylink/entry.py
+++ b/gooseberrylink/entry.py
@@ -15,12 +15,11 @@
 from gooseberrylink.latency import ValueHistogram
 from gooseberrylink.logs import log_event
 from gooseberrylink.operators.configuration import Configuration
-from gooseberrylink.operators.store import ConfigurationStore, StoredConfiguration
+from gooseberrylink.operators.source import ConfigurationSource, PollingSource
 from gooseberrylink.peers.agent_peer import AgentPeer
 from gooseberrylink.peers.link import Link
 from gooseberrylink.peers.messages import AgentHello, EntryHello, decode_at_entry
 from gooseberrylink.platform.client import Platform
-from gooseberrylink.platform.results import Trouble
 from gooseberrylink.rendezvous import choose_by_weight
 from gooseberrylink.types import Answer, Job, JobRequest
 
@@ -46,6 +45,7 @@
         platform: Platform,
         counters: Counters | None = None,
         seed: int | None = None,
+        source: ConfigurationSource | None = None,
     ):
         self.settings = settings
         self.counters = counters or Counters("entry", settings.entry)
@@ -60,7 +60,7 @@
         self.answer_time = ValueHistogram()
         self.is_leaving = False
         self.peers: dict[str, AgentPeer] = {}
-        self._store = ConfigurationStore(platform)
+        self._source = source or PollingSource(platform, settings.config_poll_s)
         self._known_entries: set[str] = set(settings.entries)
         self._jobs_by_name: dict[tuple[str, str], Job] = {}
         self._is_confirmed = False
@@ -70,7 +70,7 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(self.dispatcher.run)
             await nursery.start(self.claims.run)
-            nursery.start_soon(self._poll_configuration)
+            nursery.start_soon(self._source.run, self)
             nursery.start_soon(self._share_quotas)
             task_status.started()
 
@@ -122,6 +122,17 @@
         self.dispatcher.cancel(job)
         return True
 
+    def is_in_progress(self, customer: str, job_id: str) -> bool:
+        """Says whether a job of this name has no answer yet."""
+        return (customer, job_id) in self._jobs_by_name
+
+    def waiting_jobs(self, customer: str) -> int:
+        """Counts a customer's jobs of which no task was assigned yet."""
+        return sum(
+            job.request.customer == customer and job.is_untouched()
+            for job in self.dispatcher.jobs.values()
+        )
+
     async def _run(self, request: JobRequest) -> Answer:
         if not self.has_configuration:
             raise RefusedError(Code.NOT_READY, "no configuration yet", 1.0)
@@ -222,21 +233,19 @@
 
     # Configuration.
 
-    async def _poll_configuration(self) -> None:
-        while True:
-            await self.poll_configuration_once()
-            await trio.sleep(self.settings.config_poll_s)
-
-    async def poll_configuration_once(self) -> None:
-        """Asks the platform for a newer configuration."""
-        found = await self._store.read_newer(self.configuration.version)
-        if isinstance(found, Trouble):
-            self.counters.add("config_polls_failed", found.name.lower())
-            return
-        if isinstance(found, StoredConfiguration):
-            self.adopt(found.version, found.text, "platform")
+    @property
+    def version(self) -> int:
+        """See ConfigurationTaker."""
+        return self.configuration.version
+
+    def confirm(self) -> None:
+        """See ConfigurationTaker."""
         self._is_confirmed = True
 
+    def source_failed(self, reason: str) -> None:
+        """See ConfigurationTaker."""
+        self.counters.add("config_polls_failed", reason)
+
     def adopt(self, version: int, text: str, source: str) -> None:
         """Brings a configuration into force and hands it on to all agents."""
         if not self.configuration.adopt(version, text, source):
--- a/gooseberrylink/gate.py
+++ b/gooseberrylink/gate.py
@@ -8,6 +8,7 @@
 import dataclasses
 import enum
 
+from gooseberrylink.backends.server import BackendServer
 from gooseberrylink.peers.messages import Assign, Result, Status
 
 
@@ -28,6 +29,8 @@
         expires_s: Agent's clock after which the task may not start.
         forget_s: Agent's clock after which the record may be dropped.
         result: What is reported to the entry once it is known.
+        backend: The backend server that runs it, once started.
+        is_stopping: Whether the backend server was asked to stop it.
     """
 
     assignment_id: str
@@ -38,6 +41,8 @@
     forget_s: float = 0.0
     started_s: float = 0.0
     result: Result | None = None
+    backend: BackendServer | None = None
+    is_stopping: bool = False
 
 
 class Gate:
--- a/gooseberrylink/lane.py
+++ b/gooseberrylink/lane.py
@@ -1,5 +1,7 @@
 """Holds what an entry knows of one service: its queue and its agents."""
 
+import math
+
 from gooseberrylink.operators.declarations import Customer
 from gooseberrylink.peers.agent_peer import AgentPeer
 from gooseberrylink.task_queue import TaskQueue
@@ -7,6 +9,7 @@
 
 _MAX_DEMAND_AT_ONE = 2
 _MAX_REGISTERED = 16
+_UNITS_LEARNING_RATE = 0.05
 _STRETCH = 4.0
 
 
@@ -17,6 +20,7 @@
         service: Name of the service.
         in_flight: Tasks of this entry that are at agents.
         was_queueing: Whether tasks were queued when it was last looked at.
+        task_units: Units of room (see Room) of a usual task.
     """
 
     def __init__(self, service: str):
@@ -25,13 +29,19 @@
         self.peers: list[AgentPeer] = []
         self.in_flight = 0
         self.was_queueing = False
+        self.task_units = 0.0
         self._finish_s: dict[str, float] = {}
         self._weights: dict[str, float] = {}
 
     def slots(self) -> int:
-        """Returns the slots of all agents that can serve."""
+        """Returns the units of room of all agents that can serve."""
         return sum(peer.slots for peer in self.peers if peer.can_serve)
 
+    def note_units(self, units: int) -> None:
+        """Learns how much room a usual task takes up."""
+        rate = _UNITS_LEARNING_RATE if self.task_units else 1.0
+        self.task_units += rate * (units - self.task_units)
+
     def parallelism(self) -> float:
         """Returns how many tasks of this entry probably run at once under load.
 
@@ -40,7 +50,7 @@
         """
         if len(self.queue):
             return max(1.0, float(self.in_flight))
-        return max(1.0, float(self.slots()))
+        return max(1.0, self.slots() / max(1.0, self.task_units))
 
     def wait_s(self, order: tuple[int, float]) -> float:
         """Estimates how long a task with this order key would wait."""
@@ -79,15 +89,19 @@
         return sum(peer.is_quarantined for peer in connected) / len(connected)
 
     def demand_at(self, peer: AgentPeer, now_s: float) -> tuple[int, int]:
-        """Returns the demand for short and long tasks to state to an agent.
+        """Returns the units that short and long tasks want, to state to an agent.
 
         The demand stated to all agents together is no more than the queue, or
         slots would be reserved here that others need.
         """
         told_elsewhere = sum(p.fresh_demand(now_s) for p in self.peers if p is not peer)
-        untold = max(0, min(_MAX_DEMAND_AT_ONE, len(self.queue) - told_elsewhere))
+        if not len(self.queue):
+            return 0, 0
+        task_units = self.queue.units / len(self.queue)
+        untold = len(self.queue) - math.ceil(told_elsewhere / task_units)
+        untold = max(0, min(_MAX_DEMAND_AT_ONE, untold))
         short = min(untold, self.queue.short_count)
-        return short, untold - short
+        return math.ceil(short * task_units), math.ceil((untold - short) * task_units)
 
     def peers_to_ask(self, now_s: float) -> list[AgentPeer]:
         """Returns agents that must hear of the queue in a frame of its own.
@@ -96,13 +110,14 @@
         few frames, and would wait at full agents while others have slots that
         it has not heard of. The agents with the oldest news are asked first.
         """
-        told = sum(peer.fresh_demand(now_s) for peer in self.peers)
+        told_units = sum(peer.fresh_demand(now_s) for peer in self.peers)
+        told = told_units / max(1.0, self.task_units)
         wanted = min(len(self.queue), _MAX_REGISTERED) - told
         if wanted <= 0:
             return []
         able = [p for p in self.peers if p.can_serve and not p.fresh_demand(now_s)]
         able.sort(key=lambda peer: (peer.is_quarantined, peer.heard_s))
-        return able[:wanted]
+        return able[: math.ceil(wanted)]
 
     def _start_s(self, customer: Customer, now_s: float) -> float:
         if not len(self.queue):
--- a/gooseberrylink/logs.py
+++ b/gooseberrylink/logs.py
@@ -8,9 +8,9 @@
 
 
 def configure_logs(level: str = "INFO") -> None:
-    """Sends events to standard error, one key=value line each."""
+    """Sends events to standard output, one key=value line each."""
     logger.remove()
-    logger.add(sys.stderr, format=_FORMAT, level=level)
+    logger.add(sys.stdout, format=_FORMAT, level=level)
 
 
 def log_event(event: str, level: str = "INFO", **fields: object) -> None:
--- a/gooseberrylink/operators/configuration.py
+++ b/gooseberrylink/operators/configuration.py
@@ -8,6 +8,7 @@
     DEFAULT_LONG_AFTER_S,
     Customer,
     Declarations,
+    Queue,
     Service,
 )
 
@@ -29,6 +30,7 @@
         self.adopted = trio.Event()
         self._customers: dict[str, Customer] = {}
         self._services: dict[str, Service] = {}
+        self._queues: dict[str, list[Queue]] = {}
 
     def adopt(self, version: int, text: str, source: str) -> bool:
         """Brings a version into force unless a newer one is.
@@ -57,6 +59,11 @@
         self.declarations = declarations
         self._customers = {c.name: c for c in declarations.rules.customers}
         self._services = {s.name: s for s in declarations.inventory.services}
+        self._queues = {}
+        for queue in declarations.rules.queues:
+            self._queues.setdefault(queue.host.lower(), []).append(queue)
+        for queues in self._queues.values():
+            queues.sort(key=lambda queue: -len(queue.path_prefix))
         self.adopted.set()
         self.adopted = trio.Event()
         log_event("config_adopted", version=version, source=source)
@@ -70,6 +77,13 @@
         """Returns a service of the version in force."""
         return self._services.get(name)
 
+    def queue(self, host: str, path: str) -> Queue | None:
+        """Returns the queue with the longest prefix that a path begins with."""
+        for queue in self._queues.get(host.lower(), ()):
+            if path.startswith(queue.path_prefix):
+                return queue
+        return None
+
     def long_after_s(self, service: str) -> float:
         """Returns the run time from which a service's task counts as long."""
         known = self._services.get(service)
--- a/gooseberrylink/operators/declarations.py
+++ b/gooseberrylink/operators/declarations.py
@@ -62,11 +62,15 @@
 
 
 class Inventory(StrictModel):
-    """What there is, as the asset register says."""
+    """What there is, as the asset register says.
+
+    Attributes:
+        workers: The workers; none if any that announces itself may serve.
+    """
 
     sites: list[Site] = Field(min_length=1)
     services: list[Service] = Field(min_length=1)
-    workers: list[Worker] = Field(min_length=1)
+    workers: list[Worker] = []
 
 
 class Customer(StrictModel):
@@ -87,6 +91,28 @@
     precedence: int = Field(default=0, ge=0, le=9)
 
 
+class Queue(StrictModel):
+    """A kind of job that callers name by host and path.
+
+    Attributes:
+        name: Also the name of the customer whose jobs they are.
+        host: Host header of its requests.
+        path_prefix: What their paths begin with; the longest one counts.
+        service: Service that runs its tasks.
+        max_failures: Failed runs of a task after which its job fails.
+        stretch: How many times its longest task's run time a prompt job takes.
+        target_latency_s: How much longer a prompt job may take.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    max_failures: int = Field(default=1, ge=1)
+    stretch: float = Field(default=1.0, gt=0)
+    target_latency_s: float = Field(default=0.0, ge=0)
+
+
 class Limits(StrictModel):
     """Bounds that hold for each entry.
 
@@ -103,6 +129,7 @@
     """What the operators want."""
 
     customers: list[Customer] = Field(min_length=1)
+    queues: list[Queue] = []
     limits: Limits = Limits()
 
 
--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -44,7 +44,7 @@
 
     Attributes:
         flights: Tasks whose fate at this agent is not settled, by assignment.
-        demand_told: Slots that the agent was told this entry wants there.
+        demand_told: Units that the agent was told this entry wants there.
         customer_demands: What the next frame tells the agent of customers
             that are close to their quota.
         config_version: Version in force at the agent, as last heard.
@@ -68,8 +68,10 @@
         self._clock_s = 0.0
         self._free = 0
         self._free_long = 0
-        self._assigns_sent = 0
-        self._assigns_seen = 0
+        self._units_sent = 0
+        self._units_seen = 0
+        self.free_memory_mb = 0
+        self.free_gpus = 0
         self._acks: list[str] = []
         self.config_version = 0
 
@@ -85,17 +87,17 @@
 
     @property
     def free(self) -> int:
-        """Slots that are believed to be free for this entry."""
+        """Units that are believed to be free for this entry."""
         if not self.can_serve:
             return 0
-        return self._free - (self._assigns_sent - self._assigns_seen)
+        return self._free - (self._units_sent - self._units_seen)
 
     @property
     def free_long(self) -> int:
-        """Slots that are believed to be free for long tasks of this entry."""
+        """Units that are believed to be free for long tasks of this entry."""
         if not self.can_serve:
             return 0
-        return self._free_long - (self._assigns_sent - self._assigns_seen)
+        return self._free_long - (self._units_sent - self._units_seen)
 
     def note_demand(self, demand: int, now_s: float) -> None:
         """Notes what the agent is told of this entry's demand."""
@@ -111,7 +113,7 @@
     def assign(self, task: Task, hints: AssignHints) -> None:
         """Puts a task on its way; its fate is settled by a result."""
         self.flights[task.assignment_id] = task
-        self._assigns_sent += 1
+        self._units_sent += task.spec.room.units
         item = Assign(
             assignment_id=task.assignment_id,
             task_id=task.task_id,
@@ -122,13 +124,23 @@
             is_long=task.is_long,
             is_holdable=hints.is_holdable,
             is_trusted=hints.is_trusted,
+            room=task.spec.room,
+            attempt=task.attempts,
         )
         self.outbox.put(item)
 
-    def revoke(self, assignment_ids: list[str]) -> None:
-        """Asks that tasks in flight do not start."""
+    def has_room(self, task: Task) -> bool:
+        """Says whether a task is believed to fit in for this entry."""
+        room = task.spec.room
+        free = self.free_long if task.is_long else self.free
+        if free < room.units:
+            return False
+        return self.free_memory_mb >= room.memory_mb and self.free_gpus >= room.gpus
+
+    def revoke(self, assignment_ids: list[str], is_stop: bool = False) -> None:
+        """Asks that tasks in flight do not start, or do not go on."""
         if self._session is not None:
-            self.outbox.put(Revoke(assignment_ids))
+            self.outbox.put(Revoke(assignment_ids, is_stop))
 
     def acknowledge(self, assignment_id: str) -> None:
         """Lets the agent forget a result, with the next frame."""
@@ -163,7 +175,7 @@
         self.slots = hello.slots
         self._note_clock(hello.clock_s)
         self._free = self._free_long = 0
-        self._assigns_sent = self._assigns_seen = 0
+        self._units_sent = self._units_seen = 0
         self.config_version = hello.config_version
         session.note_version(hello.config_version)
         self.demand_told = 0
@@ -178,6 +190,7 @@
         self._session = None
         self.demand_told = 0
         log_event("agent_disconnected", worker=self.worker, in_doubt=len(self.flights))
+        self._entry.dispatcher.agent_silent(self)
 
     def give_back(self, items: list[Any]) -> None:
         """See SessionOwner; returns assignments to the queue."""
@@ -206,7 +219,9 @@
         self._note_clock(frame.clock_s)
         self._free = frame.free
         self._free_long = frame.free_long
-        self._assigns_seen = frame.assigns_seen
+        self._units_seen = frame.units_seen
+        self.free_memory_mb = frame.free_memory_mb
+        self.free_gpus = frame.free_gpus
         self._note_backend(frame)
         for customer, total_per_s in frame.customer_demands.items():
             self._entry.dispatcher.quotas.learn_total(
--- a/gooseberrylink/peers/entry_peer.py
+++ b/gooseberrylink/peers/entry_peer.py
@@ -51,7 +51,7 @@
         self.quarantined_share = 0.0
         self.customer_demands: dict[str, float] = {}
         self._session: Session | None = None
-        self._assigns_seen = 0
+        self._units_seen = 0
 
     @property
     def is_connected(self) -> bool:
@@ -104,7 +104,7 @@
             self.unacknowledged.clear()
         self.incarnation = hello.incarnation
         self.name = hello.entry
-        self._assigns_seen = 0
+        self._units_seen = 0
         log_event("entry_connected", entry=hello.entry, address=self.address)
         self._agent.entry_connected(self)
         # Results or their acknowledgements may have been lost with the old link.
@@ -128,9 +128,9 @@
     def give_back(self, items: list[Any]) -> None:
         """See SessionOwner; results are sent again by the next session."""
 
-    def count_assign(self) -> None:
+    def count_assign(self, units: int) -> None:
         """Notes an assignment, so that the entry can tell what we had seen."""
-        self._assigns_seen += 1
+        self._units_seen += units
 
     def next_frame(self, items: list[Any], is_heartbeat: bool) -> bytes:
         """See SessionOwner."""
@@ -156,11 +156,13 @@
             clock_s=now_s,
             free=free,
             free_long=min(free, ledger.idle_long(now_s)),
-            assigns_seen=self._assigns_seen,
+            units_seen=self._units_seen,
             slots=ledger.slots,
             service=agent.service,
             is_quarantined=agent.failures.is_quarantined,
             config_version=agent.configuration.version,
             customer_demands=demands,
             items=items,
+            free_memory_mb=ledger.beside.memory_mb,
+            free_gpus=ledger.beside.gpus,
         )
--- a/gooseberrylink/peers/messages.py
+++ b/gooseberrylink/peers/messages.py
@@ -11,15 +11,21 @@
 
 import msgspec
 
+from gooseberrylink.room import Room
+
 
 class Status(enum.IntEnum):
-    """What an agent knows of a task."""
+    """What an agent knows of a task.
+
+    STOPPED says that it was started and ended before it was done.
+    """
 
     DONE = 1
     FAILED = 2
     NOT_STARTED = 3
     RUNNING = 4
     MAY_HAVE_RUN = 5
+    STOPPED = 6
 
 
 class AgentHello(msgspec.Struct, tag="ah", array_like=True):
@@ -62,6 +68,8 @@
         is_holdable: Whether the agent may queue it when no slot is free.
         is_trusted: Whether most of the customer's jobs end well elsewhere, so
             that a failure speaks against the backend server.
+        room: What the task takes up at the backend server.
+        attempt: Rises with each attempt to place the task, from 1.
     """
 
     assignment_id: str
@@ -73,12 +81,20 @@
     is_long: bool = False
     is_holdable: bool = False
     is_trusted: bool = False
+    room: Room = Room()
+    attempt: int = 1
 
 
 class Revoke(msgspec.Struct, tag="r", array_like=True):
-    """Asks that these never start; each gets a Result in answer."""
+    """Asks that these never start; each gets a Result in answer.
+
+    Attributes:
+        is_stop: Whether those that run already are to be stopped, too, if the
+            backend server can stop a task.
+    """
 
     assignment_ids: list[str]
+    is_stop: bool = False
 
 
 class Ack(msgspec.Struct, tag="k", array_like=True):
@@ -119,7 +135,8 @@
     Attributes:
         basis_s: The entry's estimate of the agent's clock at sending; never
             later than the true value. Grounds the lease of held tasks.
-        demand: How many more slots the entry would use here for short tasks.
+        demand: How many more units of room (see Room) the entry would use here
+            for short tasks.
         demand_long: How many more it would use here for long tasks.
         precedence: Precedence of the first task in the entry's queue.
         due_in_s: When that task is due, from now; infinite without a queue.
@@ -144,26 +161,30 @@
 
     Attributes:
         clock_s: The agent's monotonic clock at sending.
-        free: Slots that this entry may use now.
-        free_long: Slots that this entry may use now for long tasks.
-        assigns_seen: How many Assign items arrived on this link so far.
-        slots: Slots of the backend server; 0 if there is none or it is leaving.
+        free: Units of room (see Room) that this entry may use now.
+        free_long: Units that this entry may use now for long tasks.
+        units_seen: Units of all Assign items that arrived on this link so far.
+        slots: Units of the backend server; 0 if there is none or it is leaving.
         service: Service of the backend server; it may change with the server.
         is_quarantined: Whether the agent takes only single probe tasks.
         customer_demands: Demand over all entries, in tasks a second, of the
             customers that this entry told of.
+        free_memory_mb: Memory of the backend server that no task has.
+        free_gpus: Accelerators of the backend server that no task has.
     """
 
     clock_s: float
     free: int
     free_long: int
-    assigns_seen: int
+    units_seen: int
     slots: int = 0
     service: str = ""
     is_quarantined: bool = False
     config_version: int = 0
     customer_demands: dict[str, float] = {}
     items: list[Result | ConfigUpdate] = []
+    free_memory_mb: int = 0
+    free_gpus: int = 0
 
 
 _encoder = msgspec.msgpack.Encoder()
--- /dev/null
+++ b/gooseberrylink/platform/front.py
@@ -0,0 +1,209 @@
+"""Takes clients' jobs over HTTP in the platform's format."""
+
+import math
+from typing import Any
+
+import msgspec
+
+from gooseberrylink.callers.disconnects import Receive, run_until_disconnect
+from gooseberrylink.codes import Code, Truth
+from gooseberrylink.entry import Entry
+from gooseberrylink.exceptions import RefusedError
+from gooseberrylink.logs import log_event
+from gooseberrylink.operators.declarations import Queue
+from gooseberrylink.platform.worker import TaskPayload
+from gooseberrylink.room import Room
+from gooseberrylink.types import Answer, JobRequest, Promptness, RerunPolicy, TaskSpec
+
+# A request without a deadline is given this.
+_DEFAULT_DEADLINE_MS = 30_000
+_STATUS = {
+    Code.MALFORMED_JOB: 400,
+    Code.BODY_TOO_LARGE: 413,
+    Code.UNKNOWN_QUEUE: 404,
+    Code.OVER_QUOTA: 429,
+    Code.TOO_MANY_TASKS: 400,
+}
+
+
+class _Step(msgspec.Struct, rename="camel"):
+    """`count` tasks of one size; `cpu` is in thousandths of a core."""
+
+    count: int
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimate_ms: float = 0.0
+    after: list[int] = []
+    gang: bool = False
+    long_running: bool = False
+    requirements: Any = None
+    anti_affinity: Any = None
+    fills: bool = False
+
+
+class _Job(msgspec.Struct, rename="camel"):
+    spec: str
+    steps: list[_Step]
+    best_effort: bool = False
+    repeat_count: int = 0
+
+
+_decode = msgspec.json.Decoder(_Job).decode
+_encode = msgspec.json.Encoder().encode
+
+
+class Front:
+    """The ASGI application that clients reach."""
+
+    def __init__(self, entry: Entry):
+        self._entry = entry
+
+    async def app(self, scope: dict[str, Any], receive: Receive, send) -> None:
+        """Serves one request."""
+        if scope["type"] == "lifespan":
+            await _serve_lifespan(receive, send)
+            return
+        try:
+            status, body, headers = await self._serve(scope, receive)
+        except RefusedError as error:
+            self._entry.counters.add("refusals", error.code.name.lower())
+            answer = Answer(error.code, error.detail, None, error.retry_after_s)
+            _log_refusal(scope["path"], answer)
+            status, body, headers = _respond(answer)
+        await send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": body})
+
+    async def _serve(
+        self, scope: dict[str, Any], receive: Receive
+    ) -> tuple[int, bytes, list[tuple[bytes, bytes]]]:
+        headers = {name.decode(): value.decode() for name, value in scope["headers"]}
+        queue, job_id = self._find(headers.get("host", ""), scope["path"])
+        method = scope["method"]
+        if method == "POST" and job_id:
+            body = await self._read_body(receive)
+            job = _request(queue, job_id, headers, body)
+            answer = await run_until_disconnect(self._entry, job, receive)
+            return _respond(answer)
+        if method == "GET" and not job_id:
+            return _json(200, {"pending": self._entry.waiting_jobs(queue.name)})
+        if method == "GET":
+            is_running = self._entry.is_in_progress(queue.name, job_id)
+            return _json(200, {"state": "running"}) if is_running else _json(410, {})
+        if method == "DELETE" and job_id:
+            is_known = self._entry.cancel(queue.name, job_id)
+            return _json(200 if is_known else 410, {})
+        return _json(405, {})
+
+    def _find(self, host: str, path: str) -> tuple[Queue, str]:
+        if not self._entry.has_configuration:
+            raise RefusedError(Code.NOT_READY, "no configuration yet", 1.0)
+        queue = self._entry.configuration.queue(host, path)
+        if queue is None:
+            raise RefusedError(Code.UNKNOWN_QUEUE, f"no queue for {host}{path}")
+        return queue, path.removeprefix(queue.path_prefix)
+
+    async def _read_body(self, receive: Receive) -> bytes:
+        limit = self._entry.configuration.declarations.rules.limits.max_body_bytes
+        chunks: list[bytes] = []
+        size = 0
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                raise RefusedError(Code.BODY_TOO_SLOW, "the client hung up")
+            chunks.append(message.get("body", b""))
+            size += len(chunks[-1])
+            if size > limit:
+                raise RefusedError(
+                    Code.BODY_TOO_LARGE, f"the body is over {limit} bytes"
+                )
+            if not message.get("more_body"):
+                return b"".join(chunks)
+
+
+async def _serve_lifespan(receive: Receive, send) -> None:
+    while True:
+        message = await receive()
+        await send({"type": f"{message['type']}.complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+
+
+def _request(
+    queue: Queue, job_id: str, headers: dict[str, str], body: bytes
+) -> JobRequest:
+    try:
+        job = _decode(body)
+        deadline_ms = float(headers.get("x-deadline-ms", _DEFAULT_DEADLINE_MS))
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise RefusedError(Code.MALFORMED_JOB, str(error)) from None
+    _check_kind(job)
+    tasks = [
+        TaskSpec(
+            TaskPayload(f"{job_id}.0.0.{index}", job.spec),
+            step.estimate_ms / 1000,
+            Room(step.cpu, step.mem_mb, step.gpu),
+        )
+        for step in job.steps
+        for index in range(step.count)
+    ]
+    return JobRequest(
+        customer=queue.name,
+        service=queue.service,
+        tasks=tasks,
+        deadline_s=deadline_ms / 1000,
+        job_id=job_id,
+        reruns=RerunPolicy(queue.max_failures),
+        promptness=Promptness(queue.stretch, queue.target_latency_s),
+    )
+
+
+def _check_kind(job: _Job) -> None:
+    """Refuses kinds of job that are not supported yet.
+
+    Raises:
+        RefusedError: With code UNSUPPORTED_JOB.
+    """
+    step = job.steps[0] if len(job.steps) == 1 else None
+    if step is None:
+        raise RefusedError(Code.UNSUPPORTED_JOB, f"{len(job.steps)} steps, not 1")
+    unsupported = {
+        "bestEffort": not job.best_effort,
+        "repeatCount": job.repeat_count > 0,
+        "gang": step.gang,
+        "longRunning": step.long_running,
+        "requirements": bool(step.requirements),
+        "antiAffinity": bool(step.anti_affinity),
+        "fills": step.fills,
+    }
+    names = [name for name, is_set in unsupported.items() if is_set]
+    if names:
+        raise RefusedError(Code.UNSUPPORTED_JOB, f"not supported: {', '.join(names)}")
+
+
+def _respond(answer: Answer) -> tuple[int, bytes, list[tuple[bytes, bytes]]]:
+    if answer.code is Code.OK:
+        return _json(200, {"state": "completed"})
+    if answer.code is Code.TASK_FAILED:
+        return _json(200, {"state": "failed"})
+    status = _STATUS.get(answer.code)
+    if status is None:
+        status = 503 if answer.truth is Truth.NOT_RUN else 504
+    body = {"code": int(answer.code), "detail": answer.detail}
+    response = _json(status, body)
+    if answer.retry_after_s is not None:
+        seconds = str(math.ceil(answer.retry_after_s)).encode()
+        response[2].append((b"retry-after", seconds))
+    return response
+
+
+def _json(
+    status: int, body: dict[str, Any]
+) -> tuple[int, bytes, list[tuple[bytes, bytes]]]:
+    return status, _encode(body), [(b"content-type", b"application/json")]
+
+
+def _log_refusal(path: str, answer: Answer) -> None:
+    log_event("request_refused", path=path, code=int(answer.code), why=answer.detail)
--- a/gooseberrylink/routing.py
+++ b/gooseberrylink/routing.py
@@ -86,20 +86,20 @@
         """See RoutingPolicy."""
         best, best_score = None, 0.0
         for peer in peers:
-            free = peer.free_long if task.is_long else peer.free
-            if free <= 0:
+            if not peer.has_room(task):
                 continue
-            score = self._score(peer, free, now_s)
+            score = self._score(peer, task, now_s)
             if score > best_score:
                 best, best_score = peer, score
         return best
 
-    def _score(self, peer: AgentPeer, free: int, now_s: float) -> float:
+    def _score(self, peer: AgentPeer, task: Task, now_s: float) -> float:
         score = self._runtimes.speed(peer.worker)
         if peer.data_centre == self._data_centre:
             score *= _LOCAL_BONUS
-        if now_s - peer.heard_s > _FRESH_S and free < 2:
-            # An old word of a single free slot is probably out of date.
+        free = peer.free_long if task.is_long else peer.free
+        if now_s - peer.heard_s > _FRESH_S and free < 2 * task.spec.room.units:
+            # An old word of room for a single task is probably out of date.
             score *= _STALE_FACTOR
         return score
 
--- a/gooseberrylink/slots.py
+++ b/gooseberrylink/slots.py
@@ -1,9 +1,10 @@
-"""Shares the slots of one backend server among the entries and task classes."""
+"""Shares the room of one backend server among the entries and task classes."""
 
 import dataclasses
 import math
 
 from gooseberrylink.peers.messages import EntryFrame
+from gooseberrylink.room import NO_ROOM, Room
 
 _SHORT_RESERVE_MAX = 3
 _SHORT_BUSY_DECAY_S = 2.0
@@ -12,12 +13,12 @@
 
 @dataclasses.dataclass(slots=True)
 class EntryShare:
-    """What one entry has of the slots, and wants.
+    """What one entry has of the room, and wants.
 
     Attributes:
-        credits: Idle slots that the entry may use without asking.
-        demand: Slots that it still wants here for short tasks.
-        demand_long: Slots that it still wants here for long tasks.
+        credits: Idle units that the entry may use without asking.
+        demand: Units that it still wants here for short tasks.
+        demand_long: Units that it still wants here for long tasks.
         precedence: Precedence of the first task in its queue.
         due_s: When that task is due, on the agent's clock.
         stated_s: When it said so, on the agent's clock.
@@ -32,7 +33,10 @@
 
 
 class SlotLedger:
-    """Counts the slots in use and says which entry may use the idle ones.
+    """Counts the room in use and says which entry may use what is idle.
+
+    Room is counted in units (see Room); one of a backend server that counts
+    slots is a slot, and the words below are for such a one.
 
     Every idle slot is credited to one entry. Were each entry told of every
     idle slot, several would send tasks to the same one, and all but one would
@@ -46,10 +50,12 @@
     Long tasks never take the last few slots, as long as short tasks come by.
 
     Attributes:
-        slots: Slots of the backend server.
-        limit: Slots that may be in use just now.
-        running: Slots in use.
-        running_long: Slots in use by long tasks, overruns included.
+        slots: Units of the backend server.
+        limit: Tasks that may run at once just now; units where one is a task.
+        running: Units in use.
+        running_long: Units in use by long tasks, overruns included.
+        tasks: Tasks that run.
+        beside: What is left of the backend server's memory and accelerators.
     """
 
     def __init__(self, demand_valid_s: float, grant_margin_s: float):
@@ -59,13 +65,22 @@
         self.limit = 0
         self.running = 0
         self.running_long = 0
+        self.tasks = 0
+        self.beside = NO_ROOM
+        self._task_units = 1
         self._entries: dict[str, EntryShare] = {}
         self._short_busy = 0.0
         self._short_busy_s = 0.0
 
-    def resize(self, slots: int) -> None:
-        """Sets the number of slots and deals the idle ones out anew."""
+    def resize(self, slots: int, task_units: int = 1) -> None:
+        """Sets the number of units and deals the idle ones out anew.
+
+        Args:
+            slots: Units of the backend server.
+            task_units: Units of a usual task.
+        """
         self.slots = self.limit = slots
+        self._task_units = task_units
         self._deal()
 
     def add_entry(self, entry: str) -> None:
@@ -88,52 +103,68 @@
         share.stated_s = now_s
 
     def idle(self) -> int:
-        """Returns how many more tasks may be started now."""
-        return max(0, min(self.slots, self.limit) - self.running)
+        """Returns how many more units may be used now."""
+        by_limit = (self.limit - self.tasks) * self._task_units
+        return max(0, min(self.slots - self.running, by_limit))
+
+    def fits(self, room: Room) -> bool:
+        """Says whether a task of this size may be started now."""
+        if self.idle() < room.units:
+            return False
+        return self.beside.memory_mb >= room.memory_mb and self.beside.gpus >= room.gpus
 
     def idle_long(self, now_s: float) -> int:
-        """Returns how many more long tasks may be started now."""
+        """Returns how many more units long tasks may use now."""
         room = self.slots - self._short_reserve(now_s) - self.running_long
         return max(0, min(self.idle(), room))
 
     def credits_of(self, entry: str) -> int:
-        """Returns how many slots to tell an entry of."""
+        """Returns how many units to tell an entry of."""
         share = self._entries.get(entry)
         return min(self.idle(), share.credits) if share else 0
 
-    def start(self, entry: str, is_long: bool, now_s: float) -> None:
-        """Takes a slot for a task of an entry."""
+    def start(
+        self, entry: str, is_long: bool, now_s: float, room: Room = Room()
+    ) -> None:
+        """Takes the room for a task of an entry."""
         self._note_short_busy(now_s)
-        self.running += 1
-        self.running_long += is_long
+        self.running += room.units
+        self.running_long += room.units if is_long else 0
+        self.tasks += 1
+        self.beside = self.beside.minus(room)
         share = self._entries.get(entry)
-        if share is not None and share.credits > 0:
-            share.credits -= 1
-        elif self._unowned() < 0:
-            self._take_credit(entry)
+        if share is not None:
+            share.credits -= min(share.credits, room.units)
+        while self._unowned() < 0 and self._take_credit(entry, -self._unowned()):
+            pass
 
-    def overrun(self, now_s: float) -> None:
+    def overrun(self, now_s: float, room: Room = Room()) -> None:
         """Counts a running short task as long from now on."""
         self._note_short_busy(now_s)
-        self.running_long += 1
+        self.running_long += room.units
 
-    def end(self, owner: str, is_long: bool, now_s: float) -> str | None:
-        """Gives back the slot of a task of an entry.
+    def end(
+        self, owner: str, is_long: bool, now_s: float, room: Room = Room()
+    ) -> str | None:
+        """Gives back the room of a task of an entry.
 
         Returns:
             The other entry that has the credit now; None if the owner has it.
         """
         self._note_short_busy(now_s)
-        self.running -= 1
-        self.running_long -= is_long
-        if self._unowned() <= 0:
+        self.running -= room.units
+        self.running_long -= room.units if is_long else 0
+        self.tasks -= 1
+        self.beside = self.beside.plus(room)
+        freed = min(room.units, self._unowned())
+        if freed <= 0:
             return None
         other = self._more_urgent(owner, now_s)
         receiver = self._entries.get(other or owner)
         if receiver is not None:
-            receiver.credits += 1
+            receiver.credits += freed
         if other is not None:
-            self._reduce_demand(receiver)
+            self._reduce_demand(receiver, freed)
         return other
 
     def meet_demand(self, entry: str, now_s: float) -> bool:
@@ -148,11 +179,15 @@
         wanted = share.demand + min(share.demand_long, self.idle_long(now_s))
         wanted = min(wanted, self.idle()) - share.credits
         moved = 0
-        while moved < wanted and (self._unowned() > 0 or self._take_credit(entry)):
-            share.credits += 1
-            moved += 1
-        for _ in range(moved):
-            self._reduce_demand(share)
+        while moved < wanted:
+            missing = wanted - moved
+            taken = min(missing, max(0, self._unowned()))
+            taken = taken or self._take_credit(entry, missing)
+            if not taken:
+                break
+            share.credits += taken
+            moved += taken
+        self._reduce_demand(share, moved)
         return moved > 0
 
     def _unowned(self) -> int:
@@ -160,25 +195,28 @@
         return self.slots - self.running - credits
 
     def _deal(self) -> None:
-        """Deals all idle slots out evenly."""
-        for share in self._entries.values():
-            share.credits = 0
+        """Deals all idle units out evenly."""
         shares = list(self._entries.values())
-        for number in range(max(0, self.slots - self.running) if shares else 0):
-            shares[number % len(shares)].credits += 1
+        idle = max(0, self.slots - self.running)
+        for number, share in enumerate(shares):
+            share.credits = idle // len(shares) + (number < idle % len(shares))
 
-    def _take_credit(self, entry: str) -> bool:
-        """Takes a credit from the entry that has most, but not from this one.
+    def _take_credit(self, entry: str, wanted: int) -> int:
+        """Takes credits from the entry that has most, but not from this one.
 
-        That entry hears of it with its next frame. Should it use the credit
+        That entry hears of it with its next frame. Should it use a credit
         before, the task is started or refused by what is idle then.
+
+        Returns:
+            How many were taken, at most as many as wanted.
         """
         others = [share for name, share in self._entries.items() if name != entry]
         richest = max(others, key=lambda share: share.credits, default=None)
         if richest is None or richest.credits <= 0:
-            return False
-        richest.credits -= 1
-        return True
+            return 0
+        taken = min(wanted, max(1, richest.credits // 2))
+        richest.credits -= taken
+        return taken
 
     def _more_urgent(self, owner: str, now_s: float) -> str | None:
         best, best_urgency = None, self._urgency(owner, now_s)
@@ -203,17 +241,17 @@
             return 0, math.inf
         return -share.precedence, share.due_s
 
-    def _reduce_demand(self, share: EntryShare) -> None:
-        if share.demand > 0:
-            share.demand -= 1
-        elif share.demand_long > 0:
-            share.demand_long -= 1
+    def _reduce_demand(self, share: EntryShare, units: int) -> None:
+        short = min(units, share.demand)
+        share.demand -= short
+        share.demand_long = max(0, share.demand_long - (units - short))
 
     def _short_reserve(self, now_s: float) -> int:
-        """Slots kept from long tasks: as many as short tasks used lately."""
+        """Units kept from long tasks: as many as short tasks used lately."""
         self._note_short_busy(now_s)
         wanted = round(self._short_busy + 0.5)
-        return max(0, min(_SHORT_RESERVE_MAX, self.slots - 1, wanted))
+        most = _SHORT_RESERVE_MAX * self._task_units
+        return max(0, min(most, self.slots - self._task_units, wanted))
 
     def _note_short_busy(self, now_s: float) -> None:
         elapsed_s = now_s - self._short_busy_s
--- a/gooseberrylink/standins/backend.py
+++ b/gooseberrylink/standins/backend.py
@@ -12,7 +12,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from gooseberrylink.backends.server import Announcement, BackendOutcome
+from gooseberrylink.backends.server import BackendOutcome
 from gooseberrylink.peers.messages import Status
 
 _RENEW_S = 1.0
@@ -46,6 +46,9 @@
         failing_starts: How many of them came while it was failing.
     """
 
+    can_stop = False
+    is_open = True
+
     def __init__(self, worker: str, speed: float = 1.0, is_failing: bool = False):
         self.worker = worker
         self.speed = speed
@@ -55,7 +58,7 @@
         self.failing_starts = 0
 
     async def run(
-        self, task_id: str, job_id: str, customer: str, payload: Any
+        self, task_id: str, job_id: str, customer: str, payload: Any, attempt: int = 1
     ) -> BackendOutcome:
         """See BackendServer."""
         started_s = trio.current_time()
@@ -69,6 +72,15 @@
         finally:
             self.running -= 1
 
+    async def serve(self) -> None:
+        """See BackendServer; nothing goes on beside the tasks."""
+
+    def close(self) -> None:
+        """See BackendServer."""
+
+    def stop(self, task_id: str) -> None:
+        """See BackendServer; this kind can't stop a task."""
+
     async def _run(self, payload: dict, started_s: float) -> BackendOutcome:
         if self.is_failing:
             await trio.sleep(0.002)
@@ -96,8 +108,12 @@
 
     async def announce_forever(self, agent_address: str, own_address: str) -> None:
         """Announces the backend server until cancelled, then leaves."""
-        announcement = Announcement(self._service, own_address, self._slots)
-        body = msgspec.json.encode(announcement)
+        said = {
+            "service": self._service,
+            "address": own_address,
+            "slots": self._slots,
+        }
+        body = msgspec.json.encode(said)
         url = f"http://{agent_address}/v1/backend"
         async with httpcore.AsyncConnectionPool() as pool:
             try:
--- /dev/null
+++ b/gooseberrylink/store.py
@@ -0,0 +1,115 @@
+"""Defines the platform's table store as the product uses it, and watches it."""
+
+import dataclasses
+import enum
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+import trio
+
+from gooseberrylink.counters import Counters
+from gooseberrylink.logs import log_event
+
+_BACKOFF_MIN_S = 0.1
+# Bounds the calls of all processes while the store is down.
+_BACKOFF_MAX_S = 1.0
+
+
+class StoreTrouble(enum.Enum):
+    """Why the store gave no rows.
+
+    NO_EFFECT: Nothing was done.
+    UNKNOWN_OUTCOME: A write may have been done, or may be done yet.
+    HISTORY_LOST: The changes asked for are no longer kept.
+    """
+
+    NO_EFFECT = "no_effect"
+    UNKNOWN_OUTCOME = "unknown_outcome"
+    HISTORY_LOST = "history_lost"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StoredRow:
+    """A row of a table; value is None if it was removed."""
+
+    key: str
+    value: bytes | None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Rows:
+    """Rows of a table, and the version of the store that they show."""
+
+    rows: list[StoredRow]
+    version: int
+
+
+class RowStore(Protocol):
+    """The calls of the platform's table store that the product needs."""
+
+    async def read_table(self, table: str) -> Rows | StoreTrouble:
+        """Returns all rows of a table."""
+
+    async def changes(
+        self, table: str, version: int, wait_s: float
+    ) -> Rows | StoreTrouble:
+        """Waits for rows that changed after a version."""
+
+    async def put(self, table: str, key: str, value: bytes) -> StoreTrouble | None:
+        """Writes a row, whatever it held; returns the trouble, if any."""
+
+
+async def watch_table(
+    store: RowStore,
+    table: str,
+    wait_s: float,
+    counters: Counters,
+    take: Callable[[list[StoredRow]], None],
+) -> None:
+    """Hands the rows of a table, and what changes, to a function; never ends.
+
+    Args:
+        store: The store.
+        table: Name of the table.
+        wait_s: How long one call waits for a change. A connection that fell
+            silent is noticed after that time.
+        counters: Count the calls that failed.
+        take: Gets the rows; also those that it had before.
+    """
+    version: int | None = None
+    backoff_s = _BACKOFF_MIN_S
+    is_lost = False
+    while True:
+        if version is None:
+            found = await store.read_table(table)
+        else:
+            found = await store.changes(table, version, wait_s)
+        if isinstance(found, Rows):
+            if is_lost:
+                log_event("store_regained", table=table, version=found.version)
+            is_lost, backoff_s, version = False, _BACKOFF_MIN_S, found.version
+            take(found.rows)
+            continue
+        counters.add("store_reads_failed", found.value)
+        if found is StoreTrouble.HISTORY_LOST:
+            log_event("store_history_lost", table=table, version=version)
+            version = None
+            continue
+        if not is_lost:
+            log_event("store_lost", "WARNING", table=table, reason=found.value)
+            is_lost = True
+        await trio.sleep(backoff_s * random.uniform(0.5, 1.0))
+        backoff_s = min(2 * backoff_s, _BACKOFF_MAX_S)
+
+
+async def put_until_done(
+    store: RowStore, table: str, key: str, value: bytes, counters: Counters
+) -> None:
+    """Writes a row again and again until the store confirms it."""
+    backoff_s = _BACKOFF_MIN_S
+    while (trouble := await store.put(table, key, value)) is not None:
+        counters.add("store_writes_failed", trouble.value)
+        await trio.sleep(backoff_s * random.uniform(0.5, 1.0))
+        backoff_s = min(2 * backoff_s, _BACKOFF_MAX_S)
+    log_event("store_row_written", table=table, key=key)
--- a/gooseberrylink/task_queue.py
+++ b/gooseberrylink/task_queue.py
@@ -14,6 +14,7 @@
         short_count: Waiting short tasks.
         long_count: Waiting long tasks.
         work_s: Expected run time of all waiting tasks, in seconds.
+        units: Room (see Room) that all waiting tasks would take up.
     """
 
     def __init__(self):
@@ -23,6 +24,7 @@
         self.short_count = 0
         self.long_count = 0
         self.work_s = 0.0
+        self.units = 0
 
     def __len__(self) -> int:
         return self.short_count + self.long_count
@@ -36,6 +38,7 @@
         else:
             self.short_count += 1
         self.work_s += task.expected_s
+        self.units += task.spec.room.units
 
     def peek(self, is_long: bool) -> Task | None:
         """Returns the first short or long task without removing it."""
@@ -80,5 +83,6 @@
         else:
             self.short_count -= 1
         self.work_s = max(0.0, self.work_s - task.expected_s)
+        self.units -= task.spec.room.units
         if not len(self):
             self.work_s = 0.0
--- a/gooseberrylink/types.py
+++ b/gooseberrylink/types.py
@@ -7,6 +7,7 @@
 import trio
 
 from gooseberrylink.codes import Code, Truth
+from gooseberrylink.room import Room
 
 
 @dataclasses.dataclass(slots=True)
@@ -16,10 +17,36 @@
     Attributes:
         payload: JSON value that is passed to the backend server.
         declared_s: Run time that the caller expects, in seconds; 0 if unsaid.
+        room: What it takes up at a backend server.
     """
 
     payload: Any
     declared_s: float = 0.0
+    room: Room = Room()
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RerunPolicy:
+    """Lets tasks be started again once an earlier run has certainly ended.
+
+    Attributes:
+        max_failures: Failed runs of a task after which its job fails.
+    """
+
+    max_failures: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Promptness:
+    """When the answer to a job is prompt.
+
+    Attributes:
+        stretch: How many times its longest task's run time it may take.
+        latency_s: How much longer it may take.
+    """
+
+    stretch: float
+    latency_s: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -30,6 +57,8 @@
         deadline_s: Seconds from submission within which an answer is useful.
         idempotency_key: Names the request across submissions; "" if none.
         job_id: The caller's name for this submission; "" if none.
+        reruns: When tasks may be started again; None for never.
+        promptness: When its answer is prompt; None if only the deadline counts.
     """
 
     customer: str
@@ -39,6 +68,8 @@
     repeatable: bool = True
     idempotency_key: str = ""
     job_id: str = ""
+    reruns: RerunPolicy | None = None
+    promptness: Promptness | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -83,6 +114,8 @@
         is_long: Whether the task may only use slots open to long tasks.
         worker: Name of the worker that has the task; "" while queued.
         attempts: How often it was assigned, for retry accounting.
+        failures: How many of its runs failed.
+        assigned_s: When it was last assigned.
     """
 
     task_id: str
@@ -95,6 +128,8 @@
     state: TaskState = TaskState.QUEUED
     worker: str = ""
     attempts: int = 0
+    failures: int = 0
+    assigned_s: float = 0.0
 
     @property
     def assignment_id(self) -> str:
@@ -110,6 +145,7 @@
         submitted_s: Time of submission on the entry's clock.
         expires_s: Time on the entry's clock after which nothing is started.
         settled: Set when every task has reached a final state.
+        has_run: Whether a run of a task that is queued again had started.
     """
 
     job_id: str
@@ -121,12 +157,19 @@
     unfinished: int = 0
     failure: Answer | None = None
     is_cancelled: bool = False
+    has_run: bool = False
     changed: trio.Event = dataclasses.field(default_factory=trio.Event)
 
+    def is_untouched(self) -> bool:
+        """Whether no task was assigned so far."""
+        if self.has_run:
+            return False
+        return all(task.state is TaskState.QUEUED for task in self.tasks)
+
     def truth(self) -> Truth:
         """Whether any task was started, from the states of all tasks."""
         states = {task.state for task in self.tasks}
-        if TaskState.DONE in states or TaskState.RAN in states:
+        if self.has_run or TaskState.DONE in states or TaskState.RAN in states:
             return Truth.RAN
         if TaskState.UNKNOWN in states or TaskState.ASSIGNED in states:
             return Truth.MAY_HAVE_RUN
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -27,7 +27,7 @@
 
     rng = random.Random(0)
 
-    async def run(self, task_id, job_id, customer, payload) -> BackendOutcome:
+    async def run(self, task_id, job_id, customer, payload, attempt=1):
         chance = self.rng.random()
         if chance < 0.03:
             return BackendOutcome(Status.NOT_STARTED, reason="backend_unreachable")
