Ask for slots for any queue that has stood for a while

Cause: test_processes was a race: a queue of long tasks asked again only after 2 s, and one in two runs of the former code had 14 of 16 slots in use meanwhile. Change: a queue that has stood for 0.25 s asks, whether its first task is due or not. Left: slots that short tasks used lately stay closed to long ones, as designed.

--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -29,6 +29,8 @@
 _INFEASIBLE_SPEED = 2.0
 _ASK_TICK_S = 0.05
 _PRESSING_S = 0.3
+# Half a usual task: by then results would have brought slots.
+_STANDING_S = 0.25
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -373,14 +375,19 @@
     def _ask_for_slots(self) -> None:
         """Tells agents of queues that stand and whose first task is due soon.
 
-        Other queues can wait for the slots that come back with results.
+        Other queues wait a while for the slots that come back with results.
         """
         now_s = trio.current_time()
         for lane in self._lanes.values():
+            if not len(lane.queue):
+                lane.queueing_since_s = None
+                continue
             is_pressing = lane.queue.most_urgent()[1] < now_s + _PRESSING_S
-            if lane.was_queueing and is_pressing:
+            since_s = lane.queueing_since_s
+            if since_s is None:
+                lane.queueing_since_s = now_s
+            elif is_pressing or now_s - since_s > _STANDING_S:
                 self._ask_peers(lane)
-            lane.was_queueing = bool(len(lane.queue))
 
     def _ask_peers(self, lane: Lane) -> None:
         if self._policy.is_holding:
--- a/gooseberrylink/lane.py
+++ b/gooseberrylink/lane.py
@@ -19,7 +19,8 @@
     Attributes:
         service: Name of the service.
         in_flight: Tasks of this entry that are at agents.
-        was_queueing: Whether tasks were queued when it was last looked at.
+        queueing_since_s: When its queue was first seen to stand; None while it
+            is empty.
         task_units: Units of room (see Room) of a usual task.
     """
 
@@ -28,7 +29,7 @@
         self.queue = TaskQueue()
         self.peers: list[AgentPeer] = []
         self.in_flight = 0
-        self.was_queueing = False
+        self.queueing_since_s: float | None = None
         self.task_units = 0.0
         self._finish_s: dict[str, float] = {}
         self._weights: dict[str, float] = {}
