--- a/gooseberrylink/admission.py
+++ b/gooseberrylink/admission.py
@@ -5,6 +5,7 @@
 from gooseberrylink.lane import Lane
 from gooseberrylink.operators.configuration import Configuration
 from gooseberrylink.operators.declarations import Customer, Service
+from gooseberrylink.patience import patience_s
 from gooseberrylink.quotas import Quotas
 from gooseberrylink.runtimes import RuntimeModel
 from gooseberrylink.types import Job, JobRequest, Task
@@ -54,6 +55,7 @@
         if not any(peer.can_serve for peer in lane.peers):
             detail = f"no backend server for {service.name} is connected"
             raise RefusedError(Code.NO_BACKEND_SERVER, detail, _RETRY_SOON_S)
+        self._check_room(request, lane)
         self._check_capacity(request, customer, lane, now_s)
         pause_s = self._quotas.try_admit(customer, len(request.tasks), entries, now_s)
         if pause_s is not None:
@@ -69,6 +71,9 @@
         if self._orders_queue:
             order = lane.order_key(job, customer, sum(expected_s), max(expected_s))
             lane.charge(customer, sum(expected_s), job.submitted_s)
+        if request.promptness is not None:
+            waiting_s = patience_s(request, max(expected_s))
+            job.patience_ends_s = job.submitted_s + waiting_s
         long_after_s = self._configuration.long_after_s(request.service)
         for index, spec in enumerate(request.tasks):
             is_long = self._runtimes.is_long(
@@ -108,6 +113,14 @@
             detail = "a request that must not repeat needs an Idempotency-Key"
             raise RefusedError(Code.IDEMPOTENCY_KEY_MISSING, detail)
 
+    def _check_room(self, request: JobRequest, lane: Lane) -> None:
+        """Refuses a job with a task that fits into no backend server."""
+        rooms = {spec.room for spec in request.tasks}
+        for room in rooms:
+            if not lane.can_ever_hold(room):
+                detail = f"no backend server of {request.service} holds {room}"
+                raise RefusedError(Code.TASK_TOO_LARGE, detail)
+
     def _check_capacity(
         self, request: JobRequest, customer: Customer, lane: Lane, now_s: float
     ) -> None:
@@ -119,6 +132,9 @@
         expected_s = self._expected_s(request)
         probe = Job("", request, now_s, now_s + request.deadline_s)
         order = lane.order_key(probe, customer, sum(expected_s), max(expected_s))
+        if request.promptness is not None:
+            self._check_patience(request, lane, order, max(expected_s))
+            return
         ready_s = lane.wait_s(order) + sum(expected_s) / lane.parallelism()
         ready_s = max(ready_s, lane.wait_s(order) + max(expected_s))
         # More urgent jobs will come before it, and a job that expires half done
@@ -128,6 +144,20 @@
             detail = f"the answer would take about {ready_s:.1f} s"
             raise RefusedError(Code.OVERLOADED, detail, retry_after_s)
 
+    def _check_patience(
+        self,
+        request: JobRequest,
+        lane: Lane,
+        order: tuple[int, float],
+        longest_s: float,
+    ) -> None:
+        """Refuses a job that would be refused later, after its patience."""
+        wait_s = lane.wait_s(order)
+        if wait_s > patience_s(request, longest_s):
+            detail = f"the first task would wait about {wait_s:.2f} s"
+            retry_after_s = min(_RETRY_MAX_S, max(_RETRY_SOON_S, 2 * wait_s))
+            raise RefusedError(Code.OVERLOADED, detail, retry_after_s)
+
     def _expected_s(self, request: JobRequest) -> list[float]:
         return [
             self._runtimes.expected_s(
--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -33,7 +33,7 @@
     Status,
 )
 from gooseberrylink.rendezvous import choose_by_weight
-from gooseberrylink.room import Room
+from gooseberrylink.room import NO_ROOM, Room
 from gooseberrylink.slots import SlotLedger
 
 _JANITOR_TICK_S = 0.2
@@ -104,6 +104,14 @@
 
     # The backend server.
 
+    @property
+    def room(self) -> Room:
+        """Room of the backend server when it is empty."""
+        if self._announced is None:
+            return NO_ROOM
+        announced = self._announced
+        return Room(self.ledger.slots, announced.memory_mb, announced.gpus)
+
     def attach_backend(self, backend: BackendServer, announced: Announcement) -> None:
         """Starts using a backend server that announced itself."""
         self._backend = backend
--- a/gooseberrylink/bench/demo.py
+++ b/gooseberrylink/bench/demo.py
@@ -1,6 +1,5 @@
 """Runs the whole path on loopback: HTTP callers to HTTP backend servers."""
 
-
 import httpcore
 import msgspec
 import trio
--- a/gooseberrylink/config.py
+++ b/gooseberrylink/config.py
@@ -66,6 +66,8 @@
             longest deadline that the rules allow.
         announcement_valid_s: How long an announcement holds without renewal.
         run_timeout_s: How long a task may run before its fate is given up.
+        slow_start_tasks: Tasks that a new backend server gets at once.
+        cautious_jobs: Failed jobs after which it gets one task at a time.
         grant_margin_s: How much earlier the first task of another entry must
             be due, to get a slot that an entry's own task left.
     """
@@ -84,6 +86,8 @@
     quarantine_jobs: int = Field(default=3, ge=1)
     quarantine_customers: int = Field(default=2, ge=1)
     probation_s: Seconds = 5.0
+    slow_start_tasks: int = Field(default=2, ge=1)
+    cautious_jobs: int = Field(default=1, ge=1)
     max_quarantined_share: float = Field(default=0.34, ge=0, le=1)
 
     def failure_policy(self) -> FailurePolicy:
@@ -92,6 +96,8 @@
             jobs_in_row=self.quarantine_jobs,
             distinct_customers=self.quarantine_customers,
             probation_s=self.probation_s,
+            slow_start_slots=self.slow_start_tasks,
+            cautious_jobs=self.cautious_jobs,
             max_quarantined_share=self.max_quarantined_share,
         )
 
--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -29,8 +29,10 @@
 _INFEASIBLE_SPEED = 2.0
 _ASK_TICK_S = 0.05
 _PRESSING_S = 0.3
-# Half a usual task: by then results would have brought slots.
-_STANDING_S = 0.25
+# A task that fits nowhere must not hold up smaller ones behind it.
+_SCAN_DEPTH = 8
+# Most tasks are shorter: by then results would have brought slots.
+_STANDING_S = 1.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -388,6 +390,8 @@
                 lane.queueing_since_s = now_s
             elif is_pressing or now_s - since_s > _STANDING_S:
                 self._ask_peers(lane)
+            # Also refuses jobs whose patience is over.
+            self.pump(lane.service)
 
     def _ask_peers(self, lane: Lane) -> None:
         if self._policy.is_holding:
@@ -399,17 +403,23 @@
 
     def _place_next(self, lane: Lane) -> bool:
         now_s = trio.current_time()
-        heads = [lane.queue.peek(is_long=False), lane.queue.peek(is_long=True)]
-        heads = [task for task in heads if task is not None]
+        heads = lane.queue.first(False, _SCAN_DEPTH)
+        heads += lane.queue.first(True, _SCAN_DEPTH)
+        # Whatever holds the smallest of those that found no room may be full.
+        smallest: dict[bool, int] = {}
         for task in sorted(heads, key=lambda head: head.order):
             if self._is_infeasible(task, now_s):
                 self._give_up(task.job)
                 return True
+            units = task.spec.room.units
+            if units >= smallest.get(task.is_long, units + 1):
+                continue
             peer = self._policy.choose(task, lane.peers, now_s)
             if peer is not None:
-                lane.queue.pop(task.is_long)
+                lane.queue.take(task)
                 self._assign(lane, peer, task)
                 return True
+            smallest[task.is_long] = units
         return False
 
     def _assign(self, lane: Lane, peer: AgentPeer, task: Task) -> None:
@@ -433,14 +443,14 @@
         if not self._policy.orders_queue:
             return False
         soonest_s = now_s + task.expected_s / _INFEASIBLE_SPEED
-        if soonest_s < task.job.expires_s:
+        if soonest_s < task.job.expires_s and now_s < task.job.patience_ends_s:
             return False
         return task.job.is_untouched()
 
     def _give_up(self, job: Job) -> None:
         self._release(job)
         self._counters.add("jobs_given_up")
-        detail = "the queue was longer than the deadline allows"
+        detail = "no room came free in time"
         self._fail(job, Answer(Code.EXPIRED_NOT_RUN, detail, retry_after_s=1.0))
 
     def _requeue(self, task: Task) -> None:
--- a/gooseberrylink/entry.py
+++ b/gooseberrylink/entry.py
@@ -108,6 +108,7 @@
             answer = await self._run(request)
         except RefusedError as error:
             answer = Answer(error.code, error.detail, retry_after_s=error.retry_after_s)
+            _log_answer("job_refused", request, "", answer, started_s)
         self.answer_time.record(trio.current_time() - started_s)
         self.counters.add("answers", answer.code.name.lower())
         if answer.code.name != "OK":
@@ -140,7 +141,16 @@
         if request.job_id and name in self._jobs_by_name:
             raise RefusedError(Code.DUPLICATE_JOB_ID, "this job is in progress here")
         job = self.dispatcher.admit(request, 1 + len(self.other_entries()))
-        log_event("job_admitted", "DEBUG", job=job.job_id, tasks=len(job.tasks))
+        log_event(
+            "job_admitted",
+            "DEBUG" if request.promptness is None else "INFO",
+            job=request.job_id or job.job_id,
+            customer=request.customer,
+            tasks=len(job.tasks),
+            expected_s=max(task.expected_s for task in job.tasks),
+            queued=len(self.dispatcher.lane(request.service).queue),
+            config=self.configuration.version,
+        )
         if request.job_id:
             self._jobs_by_name[name] = job
         try:
@@ -148,13 +158,7 @@
         finally:
             self.dispatcher.discard(job)
             self._jobs_by_name.pop(name, None)
-        log_event(
-            "job_answered",
-            "DEBUG",
-            job=job.job_id,
-            code=int(answer.code),
-            took_s=trio.current_time() - job.submitted_s,
-        )
+        _log_answer("job_answered", request, job.job_id, answer, job.submitted_s)
         return answer
 
     async def _run_once_if_needed(self, job: Job) -> Answer:
@@ -271,3 +275,17 @@
             while self.dispatcher.jobs or self.claims.unrecorded:
                 await trio.sleep(_DRAIN_TICK_S)
         return not scope.cancelled_caught
+
+
+def _log_answer(
+    event: str, request: JobRequest, job_id: str, answer: Answer, since_s: float
+) -> None:
+    log_event(
+        event,
+        "DEBUG" if request.promptness is None else "INFO",
+        job=request.job_id or job_id,
+        customer=request.customer,
+        code=int(answer.code),
+        took_s=trio.current_time() - since_s,
+        detail=answer.detail,
+    )
--- a/gooseberrylink/failures.py
+++ b/gooseberrylink/failures.py
@@ -21,6 +21,7 @@
         successes_to_clear: Successful probes that end the quarantine.
         max_quarantined_share: Share of a service's workers above which no
             further one goes into quarantine.
+        cautious_jobs: Failed jobs in a row after which tasks run one at a time.
     """
 
     jobs_in_row: int = 3
@@ -31,6 +32,7 @@
     slow_start_s: float = 0.5
     successes_to_clear: int = 2
     max_quarantined_share: float = 0.34
+    cautious_jobs: int = 1
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -70,7 +72,8 @@
         """Returns how many tasks may run at once just now."""
         if self.is_quarantined:
             return 1 if now_s >= self._blocked_until_s else 0
-        if self._failures:
+        jobs = {failure.job_id for failure in self._failures}
+        if len(jobs) >= self._policy.cautious_jobs:
             return 1
         if self._is_proven or now_s - self._first_start_s > self._policy.slow_start_s:
             return slots
--- a/gooseberrylink/lane.py
+++ b/gooseberrylink/lane.py
@@ -3,7 +3,9 @@
 import math
 
 from gooseberrylink.operators.declarations import Customer
+from gooseberrylink.patience import patience_s
 from gooseberrylink.peers.agent_peer import AgentPeer
+from gooseberrylink.room import Room
 from gooseberrylink.task_queue import TaskQueue
 from gooseberrylink.types import Job
 
@@ -38,6 +40,10 @@
         """Returns the units of room of all agents that can serve."""
         return sum(peer.slots for peer in self.peers if peer.can_serve)
 
+    def can_ever_hold(self, room: Room) -> bool:
+        """Says whether an empty backend server would have room for a task."""
+        return any(peer.can_serve and peer.capacity.holds(room) for peer in self.peers)
+
     def note_units(self, units: int) -> None:
         """Learns how much room a usual task takes up."""
         rate = _UNITS_LEARNING_RATE if self.task_units else 1.0
@@ -68,7 +74,11 @@
         Small jobs go first, as each is due at a multiple of its own length;
         so a long one is overtaken for a bounded time only. A customer that
         asks for more than its weighted share is moved back by what it took.
+        A job whose answer is to be prompt is due when its patience ends.
         """
+        if job.request.promptness is not None:
+            due_s = job.submitted_s + patience_s(job.request, longest_s)
+            return -customer.precedence, due_s
         length_s = longest_s + work_s / self.parallelism()
         start_s = self._start_s(customer, job.submitted_s)
         return -customer.precedence, start_s + _STRETCH * length_s
--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -23,6 +23,7 @@
 )
 from gooseberrylink.peers.outbox import Outbox
 from gooseberrylink.peers.session import Session
+from gooseberrylink.room import NO_ROOM, Room
 from gooseberrylink.types import Task
 
 if TYPE_CHECKING:
@@ -48,6 +49,7 @@
         customer_demands: What the next frame tells the agent of customers
             that are close to their quota.
         config_version: Version in force at the agent, as last heard.
+        capacity: Room of the backend server, as last heard.
     """
 
     def __init__(self, entry: "Entry", worker: str):
@@ -70,6 +72,7 @@
         self._free_long = 0
         self._units_sent = 0
         self._units_seen = 0
+        self.capacity = NO_ROOM
         self.free_memory_mb = 0
         self.free_gpus = 0
         self._acks: list[str] = []
@@ -173,6 +176,7 @@
         self.data_centre = hello.data_centre
         self.service = hello.service
         self.slots = hello.slots
+        self.capacity = Room(hello.slots, self.capacity.memory_mb, self.capacity.gpus)
         self._note_clock(hello.clock_s)
         self._free = self._free_long = 0
         self._units_sent = self._units_seen = 0
@@ -222,6 +226,7 @@
         self._units_seen = frame.units_seen
         self.free_memory_mb = frame.free_memory_mb
         self.free_gpus = frame.free_gpus
+        self.capacity = Room(frame.slots, frame.memory_mb, frame.gpus)
         self._note_backend(frame)
         for customer, total_per_s in frame.customer_demands.items():
             self._entry.dispatcher.quotas.learn_total(
--- a/gooseberrylink/peers/entry_peer.py
+++ b/gooseberrylink/peers/entry_peer.py
@@ -165,4 +165,6 @@
             items=items,
             free_memory_mb=ledger.beside.memory_mb,
             free_gpus=ledger.beside.gpus,
+            memory_mb=agent.room.memory_mb,
+            gpus=agent.room.gpus,
         )
--- a/gooseberrylink/peers/messages.py
+++ b/gooseberrylink/peers/messages.py
@@ -171,6 +171,8 @@
             customers that this entry told of.
         free_memory_mb: Memory of the backend server that no task has.
         free_gpus: Accelerators of the backend server that no task has.
+        memory_mb: Memory of the backend server.
+        gpus: Accelerators of the backend server.
     """
 
     clock_s: float
@@ -185,6 +187,8 @@
     items: list[Result | ConfigUpdate] = []
     free_memory_mb: int = 0
     free_gpus: int = 0
+    memory_mb: int = 0
+    gpus: int = 0
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/gooseberrylink/platform/heartbeats.py
+++ b/gooseberrylink/platform/heartbeats.py
@@ -11,8 +11,9 @@
 from gooseberrylink.counters import Counters
 from gooseberrylink.logs import log_event
 
-# Room of a usual task in thousandths of a core, until tasks are known.
-_TASK_UNITS = 1000
+# Tasks that a worker is taken to run at once where tasks are counted; as many as
+# the slots that workers announce.
+_TASKS_AT_ONCE = 8
 
 
 class _Capacity(msgspec.Struct, rename="camel"):
@@ -72,7 +73,7 @@
             slots=beat.capacity.cpu,
             memory_mb=beat.capacity.mem_mb,
             gpus=beat.capacity.gpu,
-            task_units=_TASK_UNITS,
+            task_units=max(1, beat.capacity.cpu // _TASKS_AT_ONCE),
             incarnation=worker_id,
             born_ms=beat.born,
         )
--- a/gooseberrylink/platform/programs.py
+++ b/gooseberrylink/platform/programs.py
@@ -43,6 +43,11 @@
 _HEARTBEAT_S = 0.15
 _IDLE_HEARTBEAT_S = 0.3
 _HEARTBEAT_MISSES = 4
+# New workers are as good as others here, and two tasks in a thousand fail.
+_SLOW_START_TASKS = 64
+_CAUTIOUS_JOBS = 2
+# Workers that fail everything do so for about six seconds.
+_PROBATION_S = 1.5
 
 
 class EntryProgram:
@@ -212,6 +217,9 @@
         data_centre=settings.zone,
         entries=settings.seed_links,
         drain_s=settings.bounds.grace_s - _WRITE_OUT_S,
+        slow_start_tasks=_SLOW_START_TASKS,
+        cautious_jobs=_CAUTIOUS_JOBS,
+        probation_s=_PROBATION_S,
         # A former life's runs end with their lease.
         dial_after_s=1.1 * settings.bounds.hold_max_ms / 1000,
         **_link_settings(),
--- a/gooseberrylink/slots.py
+++ b/gooseberrylink/slots.py
@@ -109,7 +109,7 @@
 
     def fits(self, room: Room) -> bool:
         """Says whether a task of this size may be started now."""
-        if self.idle() < room.units:
+        if self.tasks >= self.limit or self.slots - self.running < room.units:
             return False
         return self.beside.memory_mb >= room.memory_mb and self.beside.gpus >= room.gpus
 
--- a/gooseberrylink/task_queue.py
+++ b/gooseberrylink/task_queue.py
@@ -47,12 +47,18 @@
             heapq.heappop(heap)
         return heap[0][2] if heap else None
 
-    def pop(self, is_long: bool) -> Task:
-        """Removes and returns what peek() returned."""
+    def first(self, is_long: bool, count: int) -> list[Task]:
+        """Returns the first short or long tasks in order, without removing them."""
+        if self.peek(is_long) is None:
+            return []
         heap = self._long if is_long else self._short
-        task = heapq.heappop(heap)[2]
+        entries = heapq.nsmallest(count, heap)
+        return [task for _, _, task in entries if task.state is TaskState.QUEUED]
+
+    def take(self, task: Task) -> None:
+        """Takes a task out that is to be assigned; it must be in state QUEUED."""
+        task.state = TaskState.ASSIGNED
         self._forget(task)
-        return task
 
     def drop(self, task: Task) -> None:
         """Takes a waiting task out, which ends in state NOT_STARTED."""
--- a/gooseberrylink/types.py
+++ b/gooseberrylink/types.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 from typing import Any
 
 import trio
@@ -144,6 +145,8 @@
     Attributes:
         submitted_s: Time of submission on the entry's clock.
         expires_s: Time on the entry's clock after which nothing is started.
+        patience_ends_s: Time on the entry's clock after which it is refused if
+            no task was assigned by then.
         settled: Set when every task has reached a final state.
         has_run: Whether a run of a task that is queued again had started.
     """
@@ -152,6 +155,7 @@
     request: JobRequest
     submitted_s: float
     expires_s: float
+    patience_ends_s: float = math.inf
     tasks: list[Task] = dataclasses.field(default_factory=list)
     results: list[Any] = dataclasses.field(default_factory=list)
     unfinished: int = 0
