Recover sooner, serve on while stopping, leave hung and slow workers alone

Cause: after all hosts lost power, agents linked to entries only 1.1 s after their own start, though the backend server's lists prove earlier that no run of a former incarnation is left; entries refused everything 2.3 s after SIGTERM while clients kept their connections; runs at a hung worker stood until their deadline, and slow workers got work while others had room.

Change: an agent links as soon as its backend server opened, else when the lease since the process's start is over. A stopping entry goes on with jobs that it can answer in time, closes connections with the answer, and stops when none came for 0.4 s.

--- a/gooseberrylink/admission.py
+++ b/gooseberrylink/admission.py
@@ -12,6 +12,8 @@
 
 _DEADLINE_SHARE = 0.8
 _RETRY_SOON_S = 1.0
+# Declared times are off by 0.4, and half of the workers are slower than others.
+_RUN_MARGIN = 2.0
 _RETRY_MAX_S = 30.0
 
 
@@ -37,9 +39,18 @@
         entries: int,
         now_s: float,
         is_draining: bool,
+        time_left_s: float,
     ) -> None:
         """Checks a request against rules, quotas and capacity.
 
+        Args:
+            request: The request.
+            lane: The queue that it would wait in.
+            entries: Number of entries known, for the share of quotas.
+            now_s: The time.
+            is_draining: Whether every job is refused.
+            time_left_s: Time until this entry stops; infinite if it does not.
+
         Raises:
             RefusedError: With a 1xx code.
         """
@@ -56,6 +67,9 @@
             detail = f"no backend server for {service.name} is connected"
             raise RefusedError(Code.NO_BACKEND_SERVER, detail, _RETRY_SOON_S)
         self._check_room(request, lane)
+        if _RUN_MARGIN * max(self._expected_s(request)) > time_left_s:
+            detail = f"this entry stops in {time_left_s:.1f} s"
+            raise RefusedError(Code.SHUTTING_DOWN, detail, _RETRY_SOON_S)
         self._check_capacity(request, customer, lane, now_s)
         pause_s = self._quotas.try_admit(customer, len(request.tasks), entries, now_s)
         if pause_s is not None:
--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -3,9 +3,11 @@
 import collections
 import random
 import secrets
+import statistics
 
 import trio
 
+from gooseberrylink.backends.leased import STALLED
 from gooseberrylink.backends.server import (
     Announcement,
     BackendOutcome,
@@ -50,6 +52,7 @@
         gate: Decides which tasks may start.
         ledger: Shares the slots among entries.
         failures: Watches the backend server's outcomes.
+        speed: Relative speed at which tasks run now; 0 if unknown.
     """
 
     def __init__(
@@ -70,6 +73,7 @@
         self.ledger = SlotLedger(settings.demand_valid_s, settings.grant_margin_s)
         self.failures = FailureWatch(settings.failure_policy())
         self.is_draining = False
+        self.speed = 0.0
         self._demands = DemandTable()
         self._backend: BackendServer | None = None
         self._announced: Announcement | None = None
@@ -79,6 +83,7 @@
         self._peers: dict[str, EntryPeer] = {}
         self._known_entries: set[str] = set(settings.entries)
         self._may_dial = False
+        self._backend_opened = trio.Event()
         self._nursery: trio.Nursery | None = None
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -137,6 +142,8 @@
 
     def backend_changed(self) -> None:
         """Notes that the backend server opened or closed for new tasks."""
+        if self._backend is not None and self._backend.is_open:
+            self._backend_opened.set()
         self._fit_slots()
 
     def _fit_slots(self) -> None:
@@ -176,6 +183,15 @@
         declared = self._declared()
         return declared is not None and declared.service == self.service
 
+    def _note_speed(self) -> None:
+        """Measures how fast tasks run, as against what entries expect."""
+        speeds = []
+        for record in self._running.values():
+            rate_per_s = record.backend.rate_per_s(record.assign.task_id)
+            if rate_per_s is not None and record.assign.expected_s > 0:
+                speeds.append(rate_per_s * record.assign.expected_s)
+        self.speed = statistics.median(speeds) if len(speeds) > 1 else 0.0
+
     # What entries say.
 
     def hello(self) -> AgentHello:
@@ -354,7 +370,7 @@
         self.counters.add("tasks_ended", outcome.status.name.lower())
         if outcome.status is Status.DONE:
             self.failures.succeeded(record.started_s)
-        elif outcome.status is not Status.STOPPED:
+        elif outcome.status is not Status.STOPPED or outcome.reason == STALLED:
             self._note_failure(assign, now_s)
         self._update_limit()
 
@@ -442,7 +458,15 @@
     # Upkeep.
 
     async def _dial_later(self) -> None:
-        await trio.sleep(self.settings.dial_after_s)
+        """Links to entries once no run of an earlier incarnation is left.
+
+        Entries take its hello as proof of that. A backend server that opened
+        has listed all of its runs; otherwise their lease has ended them.
+        """
+        with trio.move_on_after(self.settings.dial_after_s) as scope:
+            await self._backend_opened.wait()
+        by = "lease" if scope.cancelled_caught else "backend"
+        log_event("earlier_runs_ended", by=by, incarnation=self.incarnation)
         self._may_dial = True
         self._connect_chosen_entries()
 
@@ -485,6 +509,7 @@
             await trio.sleep(_JANITOR_TICK_S if is_busy else _IDLE_JANITOR_TICK_S)
             now_s = trio.current_time()
             self._stop_unleased(now_s)
+            self._note_speed()
             self._update_limit()
             self._note_overruns(now_s)
             self._start_held(now_s)
--- a/gooseberrylink/backends/http_client.py
+++ b/gooseberrylink/backends/http_client.py
@@ -71,6 +71,9 @@
     def stop(self, task_id: str) -> None:
         """See BackendServer; this kind can't stop a task."""
 
+    def rate_per_s(self, task_id: str) -> float | None:
+        """See BackendServer; this kind does not tell."""
+
     async def aclose(self) -> None:
         """Closes all idle connections."""
         while self._idle:
--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import enum
+import math
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -19,13 +20,17 @@
 from gooseberrylink.peers.messages import Status
 
 # A backend server's clock may be this much slow, as the platform says.
-_CLOCK_DRIFT = 0.02
+CLOCK_DRIFT = 0.02
 # Under the longest lease that the platform grants, 1 s.
 LEASE_S = 0.9
 # Milliseconds, as tokens are taken from the time of day; above any clock step.
 _FENCE_STEP = 60_000
 
 
+# Reason of a stop for want of progress; speaks against the backend server.
+STALLED = "stalled"
+
+
 class StartReply(enum.Enum):
     """What became of the order to start a run."""
 
@@ -150,15 +155,21 @@
         idle_wait_s: The same while none does.
         retry_s: Pause after an order without an answer.
         suspect_s: Silence after which nothing new is started.
+        frozen_s: Time without progress of any run after which nothing new is
+            started.
+        stall_s: Time without progress after which a run is stopped. The longest
+            tasks take 15 s and thus show a hundredth every 0.15 s.
         margin_s: Added when the end of a lease is computed.
     """
 
     lease_s: float = LEASE_S
     stop_s: float = 0.05
-    busy_wait_s: float = 0.2
+    busy_wait_s: float = 0.15
     idle_wait_s: float = 0.25
     retry_s: float = 0.03
     suspect_s: float = 0.5
+    frozen_s: float = 0.2
+    stall_s: float = 0.4
     margin_s: float = 0.05
 
 
@@ -169,6 +180,9 @@
     Attributes:
         begun_s: When it was known to have begun; None before.
         barred_s: From when on it is certainly stopped or barred; None before.
+        progress: Share done, 0 to 1, as last heard.
+        moved_s: When its progress last rose.
+        is_stalled: Whether it was stopped for want of progress.
     """
 
     key: RunKey
@@ -177,6 +191,8 @@
     begun_s: float | None = None
     barred_s: float | None = None
     progress: float = 0.0
+    moved_s: float = math.inf
+    is_stalled: bool = False
     end: EndKind | None = None
     is_stopping: bool = False
     ended: trio.Event = dataclasses.field(default_factory=trio.Event)
@@ -267,7 +283,9 @@
         if reply is StartReply.MALFORMED:
             return BackendOutcome(Status.FAILED, reason="backend_refused_payload")
         if reply is StartReply.STARTED:
-            run.begun_s = run.begun_s or trio.current_time()
+            now_s = trio.current_time()
+            run.begun_s = run.begun_s or now_s
+            run.moved_s = min(run.moved_s, now_s)
         elif reply is StartReply.UNANSWERED:
             log_event("run_unanswered", "WARNING", run=run.key.name)
             self._stop_soon(run)
@@ -289,7 +307,7 @@
 
     def _outcome(self, run: _Run) -> BackendOutcome:
         run_s = trio.current_time() - run.ordered_s
-        reason = run.end.value
+        reason = STALLED if run.is_stalled else run.end.value
         if run.end is EndKind.DONE:
             return BackendOutcome(Status.DONE, run_s=run_s)
         if run.end is EndKind.FAILED:
@@ -355,9 +373,11 @@
             if run is not None:
                 self._finish(run, end.kind)
         strays = self._note_running(view)
+        self._stop_stalled()
         if view.is_whole:
             self._end_unlisted(view, asked_s)
-        self._set_open(not strays and not self._is_closed)
+        is_well = not strays and not self._is_frozen()
+        self._set_open(is_well and not self._is_closed)
 
     def _note_running(self, view: WorkerView) -> int:
         """Notes progress; stops runs that nobody here ordered.
@@ -369,6 +389,8 @@
         for key, progress in view.progress.items():
             run = self._runs.get(key)
             if run is not None:
+                if run.begun_s is None or progress > run.progress:
+                    run.moved_s = self._heard_s
                 run.begun_s = run.begun_s or self._heard_s
                 run.progress = progress
                 continue
@@ -377,6 +399,31 @@
             self._nursery.start_soon(self._worker.stop, key, self._fence)
         return strays
 
+    def _stop_stalled(self) -> None:
+        """Stops runs that stand still, so that they can begin elsewhere."""
+        for run in self._runs.values():
+            if self._heard_s - run.moved_s > self._settings.stall_s:
+                if not run.is_stopping:
+                    run.is_stalled = True
+                    log_event("run_stalled", run=run.key.name, progress=run.progress)
+                self._stop_soon(run)
+
+    def _is_frozen(self) -> bool:
+        """Says whether several runs are listed and all of them stand still."""
+        still_s = [self._heard_s - r.moved_s for r in self._runs.values()]
+        still_s = [seconds for seconds in still_s if seconds >= 0]
+        return len(still_s) > 1 and min(still_s) > self._settings.frozen_s
+
+    def rate_per_s(self, task_id: str) -> float | None:
+        """Returns the share of a task done each second; None if unknown."""
+        for run in self._runs.values():
+            if run.task_id == task_id and run.begun_s is not None:
+                elapsed_s = self._heard_s - run.begun_s
+                if elapsed_s < self._settings.frozen_s:
+                    return None
+                return run.progress / elapsed_s
+        return None
+
     def _end_unlisted(self, view: WorkerView, asked_s: float) -> None:
         """Ends runs that can't be running, as they are not listed."""
         for run in list(self._runs.values()):
@@ -417,7 +464,7 @@
 
     def _note_lease(self) -> None:
         settings = self._settings
-        lease_s = settings.lease_s * (1 + _CLOCK_DRIFT) + settings.margin_s
+        lease_s = settings.lease_s * (1 + CLOCK_DRIFT) + settings.margin_s
         self._lease_end_s = trio.current_time() + lease_s
 
     def _raise_fence(self) -> None:
--- a/gooseberrylink/backends/server.py
+++ b/gooseberrylink/backends/server.py
@@ -80,3 +80,6 @@
 
     def stop(self, task_id: str) -> None:
         """Stops a running task, if that can be done; run() then returns."""
+
+    def rate_per_s(self, task_id: str) -> float | None:
+        """Returns the share of a task done each second; None if unknown."""
--- a/gooseberrylink/config.py
+++ b/gooseberrylink/config.py
@@ -117,6 +117,8 @@
             the platform, before the newest configuration among theirs counts.
         drain_notice_s: How long a shutdown goes on taking jobs after it
             reports "not ready", until the balancer has noticed.
+        drain_quiet_s: How long a shutdown waits for another job after the last
+            answer; 0 to refuse new jobs instead, once the balancer has noticed.
         revoke_wait_s: How long a late answer waits to learn what started.
         claim_group_s: How long claims are collected into one transaction.
         retry_share: Retries allowed for each assignment.
@@ -134,6 +136,7 @@
     config_poll_s: Seconds = 1.0
     ready_peers: int = Field(default=3, ge=1)
     drain_notice_s: float = Field(default=1.0, ge=0)
+    drain_quiet_s: float = Field(default=0.0, ge=0)
     revoke_wait_s: Seconds = 0.25
     claim_group_s: Seconds = 0.004
     retry_share: float = Field(default=0.5, ge=0)
--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -55,6 +55,8 @@
     Attributes:
         jobs: Jobs without an answer yet, by job id.
         is_draining: Whether new jobs are refused.
+        closes_s: Time by which all answers must be given; infinite while no
+            shutdown is under way.
     """
 
     def __init__(
@@ -68,6 +70,8 @@
         self.settings = settings
         self.jobs: dict[str, Job] = {}
         self.is_draining = False
+        self.closes_s = math.inf
+        self._last_end_s = -math.inf
         self.runtimes = RuntimeModel()
         self.quotas = Quotas()
         self._trust = CustomerTrust()
@@ -111,7 +115,10 @@
         now_s = trio.current_time()
         # A lane is kept only for a service that exists.
         lane = self._lanes.get(request.service) or Lane(request.service)
-        self._admission.check(request, lane, entries, now_s, self.is_draining)
+        time_left_s = self.closes_s - now_s
+        self._admission.check(
+            request, lane, entries, now_s, self.is_draining, time_left_s
+        )
         lane = self.lane(request.service)
         number = next(self._sequence)
         job = Job(
@@ -142,6 +149,11 @@
     def discard(self, job: Job) -> None:
         """Forgets an admitted job that is not run after all."""
         self.jobs.pop(job.job_id, None)
+        self._last_end_s = trio.current_time()
+
+    def idle_since_s(self) -> float:
+        """Returns since when there is no job; the time now if there is one."""
+        return trio.current_time() if self.jobs else self._last_end_s
 
     def cancel(self, job: Job) -> None:
         """Ends a job early; what has not started never will."""
--- a/gooseberrylink/entry.py
+++ b/gooseberrylink/entry.py
@@ -270,12 +270,26 @@
         Returns:
             Whether all of them were answered and recorded in time.
         """
-        self.dispatcher.is_draining = True
         with trio.move_on_after(self.settings.drain_s) as scope:
+            await self._wait_quiet()
+            self.dispatcher.is_draining = True
             while self.dispatcher.jobs or self.claims.unrecorded:
                 await trio.sleep(_DRAIN_TICK_S)
         return not scope.cancelled_caught
 
+    async def _wait_quiet(self) -> None:
+        """Goes on taking jobs that callers send over connections they kept.
+
+        Only jobs that can be answered in time are taken meanwhile.
+        """
+        quiet_s = self.settings.drain_quiet_s
+        if not quiet_s:
+            return
+        dispatcher = self.dispatcher
+        dispatcher.closes_s = trio.current_time() + self.settings.drain_s
+        while trio.current_time() < dispatcher.idle_since_s() + quiet_s:
+            await trio.sleep(_DRAIN_TICK_S)
+
 
 def _log_answer(
     event: str, request: JobRequest, job_id: str, answer: Answer, since_s: float
--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -30,6 +30,8 @@
     from gooseberrylink.entry import Entry
 
 _MAX_ACKS_WAITING = 64
+# A worker that is left alone for being slow is tried again after that time.
+_SPEED_VALID_S = 2.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -73,6 +75,8 @@
         self._units_sent = 0
         self._units_seen = 0
         self.capacity = NO_ROOM
+        self._speed = 0.0
+        self._speed_s = float("-inf")
         self.free_memory_mb = 0
         self.free_gpus = 0
         self._acks: list[str] = []
@@ -129,9 +133,16 @@
             is_trusted=hints.is_trusted,
             room=task.spec.room,
             attempt=task.attempts,
+            expected_s=task.expected_s,
         )
         self.outbox.put(item)
 
+    def speed_now(self, now_s: float) -> float | None:
+        """Returns the speed that the agent measured lately; None if unknown."""
+        if now_s - self._speed_s > _SPEED_VALID_S:
+            return None
+        return self._speed
+
     def has_room(self, task: Task) -> bool:
         """Says whether a task is believed to fit in for this entry."""
         room = task.spec.room
@@ -227,6 +238,8 @@
         self.free_memory_mb = frame.free_memory_mb
         self.free_gpus = frame.free_gpus
         self.capacity = Room(frame.slots, frame.memory_mb, frame.gpus)
+        if frame.speed > 0:
+            self._speed, self._speed_s = frame.speed, self.heard_s
         self._note_backend(frame)
         for customer, total_per_s in frame.customer_demands.items():
             self._entry.dispatcher.quotas.learn_total(
--- a/gooseberrylink/peers/entry_peer.py
+++ b/gooseberrylink/peers/entry_peer.py
@@ -167,4 +167,5 @@
             free_gpus=ledger.beside.gpus,
             memory_mb=agent.room.memory_mb,
             gpus=agent.room.gpus,
+            speed=agent.speed,
         )
--- a/gooseberrylink/peers/messages.py
+++ b/gooseberrylink/peers/messages.py
@@ -70,6 +70,7 @@
             that a failure speaks against the backend server.
         room: What the task takes up at the backend server.
         attempt: Rises with each attempt to place the task, from 1.
+        expected_s: Expected run time on a worker of relative speed 1.
     """
 
     assignment_id: str
@@ -83,6 +84,7 @@
     is_trusted: bool = False
     room: Room = Room()
     attempt: int = 1
+    expected_s: float = 0.0
 
 
 class Revoke(msgspec.Struct, tag="r", array_like=True):
@@ -173,6 +175,7 @@
         free_gpus: Accelerators of the backend server that no task has.
         memory_mb: Memory of the backend server.
         gpus: Accelerators of the backend server.
+        speed: Relative speed at which its tasks run now; 0 if unknown.
     """
 
     clock_s: float
@@ -189,6 +192,7 @@
     free_gpus: int = 0
     memory_mb: int = 0
     gpus: int = 0
+    speed: float = 0.0
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/gooseberrylink/platform/front.py
+++ b/gooseberrylink/platform/front.py
@@ -71,9 +71,11 @@
             answer = Answer(error.code, error.detail, None, error.retry_after_s)
             _log_refusal(scope["path"], answer)
             status, body, headers = _respond(answer)
-        await send(
-            {"type": "http.response.start", "status": status, "headers": headers}
-        )
+        if self._entry.is_leaving:
+            # The client's next request then reaches another entry.
+            headers.append((b"connection", b"close"))
+        start = {"type": "http.response.start", "status": status, "headers": headers}
+        await send(start)
         await send({"type": "http.response.body", "body": body})
 
     async def _serve(
--- a/gooseberrylink/platform/programs.py
+++ b/gooseberrylink/platform/programs.py
@@ -12,7 +12,12 @@
 
 from gooseberrylink.agent import Agent
 from gooseberrylink.backends.incarnations import Incarnations
-from gooseberrylink.backends.leased import LEASE_S, LeasedBackend, LeaseSettings
+from gooseberrylink.backends.leased import (
+    CLOCK_DRIFT,
+    LEASE_S,
+    LeasedBackend,
+    LeaseSettings,
+)
 from gooseberrylink.backends.server import Announcement
 from gooseberrylink.config import AgentSettings, EntrySettings
 from gooseberrylink.counters import Counters
@@ -35,6 +40,8 @@
 _METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 _RELOAD_TICK_S = 1.0
 _BALANCER_NOTICE_S = 2.3
+# Long enough for a client to come back on a channel that it kept open.
+_DRAIN_QUIET_S = 0.4
 # Kept of the grace time for writing out the last answers.
 _WRITE_OUT_S = 0.7
 # The next four bound how long a silent entry's tasks run on: a client sends a
@@ -53,7 +60,13 @@
 class EntryProgram:
     """The entry of an entry host; see Daemon."""
 
-    def __init__(self, settings: Settings, path: pathlib.Path, thread: GrpcThread):
+    def __init__(
+        self,
+        settings: Settings,
+        path: pathlib.Path,
+        thread: GrpcThread,
+        started_s: float,
+    ):
         self._settings = settings
         self._path = path
         self._store = PlatformStore(settings.platform.address)
@@ -91,11 +104,19 @@
 class AgentProgram:
     """The agent of a worker's host; see Daemon."""
 
-    def __init__(self, settings: Settings, path: pathlib.Path, thread: GrpcThread):
+    def __init__(
+        self,
+        settings: Settings,
+        path: pathlib.Path,
+        thread: GrpcThread,
+        started_s: float,
+    ):
         self._settings = settings
         self._path = path
         self._store = PlatformStore(settings.platform.address)
-        self._agent = Agent(_agent_settings(settings), GrpcDialer(thread))
+        age_s = time.monotonic() - started_s
+        agent_settings = _agent_settings(settings, age_s)
+        self._agent = Agent(agent_settings, GrpcDialer(thread))
         self._stop = trio.Event()
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -206,12 +227,15 @@
         platform=settings.platform.address,
         drain_notice_s=_BALANCER_NOTICE_S,
         drain_s=grace_s - _BALANCER_NOTICE_S - _WRITE_OUT_S,
+        drain_quiet_s=_DRAIN_QUIET_S,
         rerun_after_silence_s=_ENTRY_LEASE_S + 2 * LEASE_S,
         **_link_settings(),
     )
 
 
-def _agent_settings(settings: Settings) -> AgentSettings:
+def _agent_settings(settings: Settings, age_s: float) -> AgentSettings:
+    # A former incarnation's runs end with their lease, if not stopped before.
+    leases_s = settings.bounds.hold_max_ms / 1000 * (1 + CLOCK_DRIFT)
     return AgentSettings(
         worker=settings.node,
         data_centre=settings.zone,
@@ -220,8 +244,7 @@
         slow_start_tasks=_SLOW_START_TASKS,
         cautious_jobs=_CAUTIOUS_JOBS,
         probation_s=_PROBATION_S,
-        # A former life's runs end with their lease.
-        dial_after_s=1.1 * settings.bounds.hold_max_ms / 1000,
+        dial_after_s=max(0.0, leases_s - age_s),
         **_link_settings(),
     )
 
@@ -240,25 +263,33 @@
 
 
 def run_program(
-    make_program: type[EntryProgram] | type[AgentProgram], path: pathlib.Path
+    make_program: type[EntryProgram] | type[AgentProgram],
+    path: pathlib.Path,
+    started_s: float,
 ) -> None:
     """Runs a program as the main job of this process.
 
+    Args:
+        make_program: The program.
+        path: Its settings file.
+        started_s: When the process started, on the monotonic clock.
+
     Raises:
         ConfigError: The settings file is not valid.
     """
     settings = read_settings(path)
     configure_logs()
-    trio.run(_run, make_program, settings, path)
+    trio.run(_run, make_program, settings, path, started_s)
 
 
 async def _run(
     make_program: type[EntryProgram] | type[AgentProgram],
     settings: Settings,
     path: pathlib.Path,
+    started_s: float,
 ) -> None:
     thread = GrpcThread()
     try:
-        await run_until_signal(make_program(settings, path, thread))
+        await run_until_signal(make_program(settings, path, thread, started_s))
     finally:
         thread.stop()
--- a/gooseberrylink/routing.py
+++ b/gooseberrylink/routing.py
@@ -1,6 +1,7 @@
 """Chooses the worker for the next task."""
 
 import random
+import statistics
 from typing import Protocol
 
 from gooseberrylink.peers.agent_peer import AgentPeer
@@ -10,6 +11,9 @@
 _LOCAL_BONUS = 1.05
 _FRESH_S = 0.25
 _STALE_FACTOR = 0.9
+# Sound workers of one service differ by 2.4 times.
+_SLOW_SHARE = 0.35
+_FEWEST_COMPARED = 3
 
 
 class RoutingPolicy(Protocol):
@@ -85,14 +89,30 @@
     ) -> AgentPeer | None:
         """See RoutingPolicy."""
         best, best_score = None, 0.0
+        slowest = self._slowest_of_use(peers, now_s)
         for peer in peers:
             if not peer.has_room(task):
                 continue
+            speed = peer.speed_now(now_s)
+            if speed is not None and speed < slowest:
+                continue
             score = self._score(peer, task, now_s)
             if score > best_score:
                 best, best_score = peer, score
         return best
 
+    def _slowest_of_use(self, peers: list[AgentPeer], now_s: float) -> float:
+        """Returns the speed below which a worker is left alone.
+
+        Answers workers that turn slow while others have room: whatever is
+        placed there comes late.
+        """
+        speeds = [peer.speed_now(now_s) for peer in peers if peer.can_serve]
+        known = [speed for speed in speeds if speed is not None]
+        if len(known) < _FEWEST_COMPARED:
+            return 0.0
+        return _SLOW_SHARE * statistics.median(known)
+
     def _score(self, peer: AgentPeer, task: Task, now_s: float) -> float:
         score = self._runtimes.speed(peer.worker)
         if peer.data_centre == self._data_centre:
--- a/gooseberrylink/standins/backend.py
+++ b/gooseberrylink/standins/backend.py
@@ -81,6 +81,9 @@
     def stop(self, task_id: str) -> None:
         """See BackendServer; this kind can't stop a task."""
 
+    def rate_per_s(self, task_id: str) -> float | None:
+        """See BackendServer; this kind does not tell."""
+
     async def _run(self, payload: dict, started_s: float) -> BackendOutcome:
         if self.is_failing:
             await trio.sleep(0.002)
