--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -226,7 +226,7 @@
         self._seen_up_to = 0
         self._clock_ms = 0
         self._clock_s = 0.0
-        self._is_clock_known = False
+        self._is_answering = False
         self._heard_s = trio.current_time()
         self._lease_end_s = 0.0
         self._is_closed = False
@@ -344,7 +344,9 @@
     async def _renew_once(self) -> None:
         settings = self._settings
         wait_s = settings.busy_wait_s if self._runs else settings.idle_wait_s
-        until_ms = self._until_ms() if self._is_clock_known else None
+        # While it is silent it is only asked: an order that extends the lease
+        # might be carried out, and the lease would never be certainly over.
+        until_ms = self._until_ms() if self._is_answering else None
         asked_s = trio.current_time()
         if until_ms is not None:
             self._note_lease()
@@ -354,8 +356,10 @@
         view = await self._worker.renew(renewal)
         if isinstance(view, WorkerView):
             self._heard_s = trio.current_time()
+            self._is_answering = True
             self._apply(view, asked_s)
             return
+        self._is_answering = False
         self._counters.add("renewals_failed", view.value)
         if view is OrderReply.FENCED:
             self._raise_fence()
@@ -366,7 +370,6 @@
 
     def _apply(self, view: WorkerView, asked_s: float) -> None:
         self._clock_ms, self._clock_s = view.clock_ms, self._heard_s
-        self._is_clock_known = True
         for end in view.ends:
             self._seen_up_to = max(self._seen_up_to, end.number)
             run = self._runs.get(end.key)
--- a/gooseberrylink/standins/deployment.py
+++ b/gooseberrylink/standins/deployment.py
@@ -6,6 +6,7 @@
 import trio
 
 from gooseberrylink.agent import Agent
+from gooseberrylink.backends.leased import LeasedBackend, LeaseSettings
 from gooseberrylink.backends.server import Announcement
 from gooseberrylink.config import AgentSettings, EntrySettings
 from gooseberrylink.entry import Entry
@@ -16,6 +17,7 @@
 from gooseberrylink.standins.backend import FakeBackend
 from gooseberrylink.standins.network import MemoryNetwork
 from gooseberrylink.standins.platform import MemoryPlatform
+from gooseberrylink.standins.worker import FakeLeasedWorker
 
 _NO_ADDRESS = "127.0.0.1:1"
 _APPLY_TIMEOUT_S = 5.0
@@ -140,6 +142,36 @@
         await self._run(agent)
         return agent
 
+    async def add_leased_agent(
+        self, worker: FakeLeasedWorker, fence: int = 1, **settings
+    ) -> Agent:
+        """Starts an agent beside a worker that keeps runs under a lease."""
+        values = {
+            "worker": worker.name,
+            "data_centre": "dc-1",
+            "entries": [entry.address for entry in self.entries],
+            "slow_start_tasks": worker.units,
+            "lease_s": 0.6,
+            "busy_heartbeat_s": 0.15,
+            "idle_heartbeat_s": 0.3,
+            "max_misses": 4,
+            "dial_after_s": 1.1,
+        }
+        agent = Agent(
+            AgentSettings(**(values | settings)),
+            self.network.dialer(worker.name),
+            seed=len(self.agents),
+        )
+        self.agents[worker.name] = agent
+        await self._run(agent)
+        backend = LeasedBackend(
+            worker, fence, LeaseSettings(), agent.counters, agent.backend_changed
+        )
+        agent.attach_backend(
+            backend, Announcement(self.service, "fake:1", worker.units)
+        )
+        return agent
+
     def attach(self, agent: Agent, backend: FakeBackend, slots: int = 8) -> None:
         """Gives an agent a fake backend server."""
         if backend not in self.backends:
--- /dev/null
+++ b/gooseberrylink/standins/worker.py
@@ -0,0 +1,209 @@
+"""Stands in for a worker that keeps runs under a lease, and logs what it ran."""
+
+import dataclasses
+import math
+from collections.abc import Callable
+from typing import Any
+
+import trio
+
+from gooseberrylink.backends.leased import (
+    EndKind,
+    OrderReply,
+    Renewal,
+    RunEnd,
+    RunKey,
+    StartReply,
+    WorkerView,
+)
+
+_NO_ANSWER_S = 0.25
+_LOOK_S = 0.005
+
+
+@dataclasses.dataclass(slots=True)
+class RanTask:
+    """One run, as the worker saw it; the judge of all promises."""
+
+    key: RunKey
+    worker: str
+    units: int
+    begun_s: float
+    work_s: float
+    ended_s: float = math.inf
+    kind: EndKind | None = None
+
+
+class FakeLeasedWorker:
+    """Runs tasks by waiting; see LeasedWorker.
+
+    A payload is {"name": ..., "run_s": ..., "units": ..., "fail": ...}.
+
+    Attributes:
+        units: Its room; it starts whatever it is told to, as real ones do.
+        runs: Every run, in order.
+        most_units: The most room that was ever in use.
+        is_silent: Whether orders get no answer and have no effect.
+        late_s: If set, orders get no answer and are carried out that much later.
+        is_hung: Whether runs stand still.
+        drift: How much its clock is slow.
+    """
+
+    def __init__(
+        self, name: str, nursery: trio.Nursery, units: int = 8, drift: float = 0.02
+    ):
+        self.name = name
+        self.units = units
+        self.drift = drift
+        self.runs: list[RanTask] = []
+        self.most_units = 0
+        self.is_silent = False
+        self.late_s = 0.0
+        self.is_hung = False
+        self.fence = 0
+        self._nursery = nursery
+        self._running: dict[RunKey, RanTask] = {}
+        self._done_s: dict[RunKey, float] = {}
+        self._highest: dict[str, int] = {}
+        self._ends: list[RunEnd] = []
+        self._until_ms = 0
+        self._number = 0
+
+    async def work(self) -> None:
+        """Advances the runs until cancelled."""
+        while True:
+            await trio.sleep(_LOOK_S)
+            for key, run in list(self._running.items()):
+                if self._clock_ms() > self._until_ms:
+                    self._end(key, EndKind.LAPSED)
+                    continue
+                self._done_s[key] += 0.0 if self.is_hung else _LOOK_S
+                if self._done_s[key] >= run.work_s:
+                    self._end(key, EndKind.DONE)
+
+    def crash(self) -> None:
+        """Loses all runs, and what it knew of them."""
+        for key in list(self._running):
+            self._end(key, EndKind.VANISHED)
+        self._ends.clear()
+        self._highest.clear()
+        self.fence = self._number = self._until_ms = 0
+
+    def key_of(self, payload: Any, attempt: int) -> RunKey:
+        """See LeasedWorker."""
+        return RunKey(payload["name"], attempt)
+
+    async def start(
+        self, key: RunKey, payload: Any, until_ms: int, fence: int
+    ) -> StartReply:
+        """See LeasedWorker."""
+        order = lambda: self._start(key, payload, until_ms, fence)  # noqa: E731
+        return await self._carry_out(order, StartReply.UNANSWERED)
+
+    async def stop(self, key: RunKey, fence: int) -> OrderReply:
+        """See LeasedWorker."""
+        order = lambda: self._stop(key, fence)  # noqa: E731
+        return await self._carry_out(order, OrderReply.UNANSWERED)
+
+    async def renew(self, renewal: Renewal) -> WorkerView | OrderReply:
+        """See LeasedWorker."""
+        if self.is_silent or self.late_s:
+            return await self._carry_out(
+                lambda: self._renew(renewal), OrderReply.UNANSWERED
+            )
+        if not self._accepts(renewal.fence):
+            return OrderReply.FENCED
+        self._renew(renewal)
+        with trio.move_on_after(renewal.wait_s):
+            while not self._ends:
+                await trio.sleep(_LOOK_S)
+        progress = {
+            key: min(1.0, self._done_s[key] / run.work_s)
+            for key, run in self._running.items()
+        }
+        return WorkerView(self._clock_ms(), progress, list(self._ends))
+
+    async def _carry_out(self, order: Callable[[], Any], no_answer: Any) -> Any:
+        if self.is_silent:
+            await trio.sleep(_NO_ANSWER_S)
+            return no_answer
+        if self.late_s:
+            self._nursery.start_soon(self._carry_out_late, order, self.late_s)
+            await trio.sleep(_NO_ANSWER_S)
+            return no_answer
+        await trio.sleep(0.001)
+        return order()
+
+    async def _carry_out_late(self, order: Callable[[], Any], late_s: float) -> None:
+        await trio.sleep(late_s)
+        order()
+
+    def _start(
+        self, key: RunKey, payload: Any, until_ms: int, fence: int
+    ) -> StartReply:
+        if not self._accepts(fence):
+            return StartReply.FENCED
+        if key in self._running:
+            return StartReply.STARTED
+        if key.attempt <= self._highest.get(key.name, 0):
+            return StartReply.SUPERSEDED
+        if until_ms < self._clock_ms():
+            return StartReply.LATE
+        self._until_ms = max(self._until_ms, until_ms)
+        run = RanTask(
+            key,
+            self.name,
+            payload.get("units", 1),
+            trio.current_time(),
+            payload["run_s"],
+        )
+        self.runs.append(run)
+        self._running[key] = run
+        self._done_s[key] = 0.0
+        in_use = sum(other.units for other in self._running.values())
+        self.most_units = max(self.most_units, in_use)
+        return StartReply.STARTED
+
+    def _stop(self, key: RunKey, fence: int) -> OrderReply:
+        if not self._accepts(fence):
+            return OrderReply.FENCED
+        self._highest[key.name] = max(key.attempt, self._highest.get(key.name, 0))
+        if key in self._running:
+            self._end(key, EndKind.STOPPED)
+        return OrderReply.DONE
+
+    def _renew(self, renewal: Renewal) -> None:
+        if not self._accepts(renewal.fence):
+            return
+        if renewal.until_ms is not None:
+            self._until_ms = max(self._until_ms, renewal.until_ms)
+        self._ends = [end for end in self._ends if end.number > renewal.seen_up_to]
+
+    def _end(self, key: RunKey, kind: EndKind) -> None:
+        run = self._running.pop(key)
+        run.ended_s, run.kind = trio.current_time(), kind
+        self._highest[key.name] = max(key.attempt, self._highest.get(key.name, 0))
+        self._number += 1
+        self._ends.append(RunEnd(self._number, key, kind))
+
+    def _accepts(self, fence: int) -> bool:
+        self.fence = max(self.fence, fence)
+        return fence >= self.fence
+
+    def _clock_ms(self) -> int:
+        return round(trio.current_time() * 1000 * (1 - self.drift))
+
+
+def overlapping_runs(workers: list[FakeLeasedWorker]) -> list[str]:
+    """Names the tasks of which two runs were under way at the same time."""
+    by_name: dict[str, list[RanTask]] = {}
+    for worker in workers:
+        for run in worker.runs:
+            by_name.setdefault(run.key.name, []).append(run)
+    found = []
+    for name, runs in by_name.items():
+        runs.sort(key=lambda run: run.begun_s)
+        pairs = zip(runs, runs[1:], strict=False)
+        if any(later.begun_s < former.ended_s for former, later in pairs):
+            found.append(name)
+    return found
--- /dev/null
+++ b/tests/test_leased.py
@@ -0,0 +1,167 @@
+"""Runs under a lease: late orders, silence, former incarnations, stalls."""
+
+import pytest
+import trio
+
+from gooseberrylink.backends.leased import LeasedBackend, LeaseSettings
+from gooseberrylink.counters import Counters
+from gooseberrylink.peers.messages import Status
+from gooseberrylink.standins.worker import FakeLeasedWorker, overlapping_runs
+
+
+@pytest.fixture
+def run_leased(autojump_clock_run):
+    """Returns a function that runs a test with a worker and its client."""
+
+    def run(test, fence: int = 5, drift: float = 0.02):
+        async def main():
+            async with trio.open_nursery() as nursery:
+                worker = FakeLeasedWorker("tank-1", nursery, drift=drift)
+                backend = make_backend(worker, fence)
+                nursery.start_soon(worker.work)
+                nursery.start_soon(backend.serve)
+                await test(worker, backend, nursery)
+                nursery.cancel_scope.cancel()
+
+        autojump_clock_run(main)
+
+    return run
+
+
+def make_backend(worker, fence: int = 5) -> LeasedBackend:
+    counters = Counters("agent", "tank-1")
+    return LeasedBackend(worker, fence, LeaseSettings(), counters, lambda: None)
+
+
+async def wait_open(backend) -> None:
+    with trio.fail_after(5):
+        while not backend.is_open:
+            await trio.sleep(0.01)
+
+
+async def order(backend, name: str = "a", run_s: float = 0.3, attempt: int = 1):
+    payload = {"name": name, "run_s": run_s}
+    return await backend.run(f"id-{name}", "job", "shops", payload, attempt)
+
+
+def test_run_outlives_many_leases(run_leased):
+    async def test(worker, backend, nursery):
+        await wait_open(backend)
+        outcome = await order(backend, run_s=3.0)
+        assert outcome.status is Status.DONE
+
+    run_leased(test)
+
+
+def test_start_that_is_carried_out_late_ends_before_it_is_given_up(run_leased):
+    async def test(worker, backend, nursery):
+        await wait_open(backend)
+        worker.late_s = 0.6
+
+        async def answer_again():
+            await trio.sleep(0.4)
+            worker.late_s = 0.0
+
+        nursery.start_soon(answer_again)
+        outcome = await order(backend, run_s=5.0)
+        given_up_s = trio.current_time()
+        assert outcome.status in (Status.NOT_STARTED, Status.STOPPED)
+        await trio.sleep(3)
+        assert all(run.ended_s <= given_up_s for run in worker.runs)
+
+    run_leased(test)
+
+
+def test_unanswered_start_is_never_given_up_by_time_alone(run_leased):
+    # It may be carried out seconds later, on some days with a lease from then.
+    async def test(worker, backend, nursery):
+        await wait_open(backend)
+        worker.is_silent = True
+        with trio.move_on_after(6) as scope:
+            await order(backend)
+        assert scope.cancelled_caught
+
+    run_leased(test)
+
+
+@pytest.mark.parametrize("drift", [0.0, 0.02])
+def test_silent_worker_keeps_its_runs_until_the_lease_is_over(run_leased, drift):
+    async def test(worker, backend, nursery):
+        await wait_open(backend)
+
+        async def fall_silent():
+            await trio.sleep(0.5)
+            worker.is_silent = True
+
+        nursery.start_soon(fall_silent)
+        outcome = await order(backend, run_s=9.0)
+        given_up_s = trio.current_time()
+        assert outcome.status is Status.STOPPED
+        await trio.sleep(1)
+        assert worker.runs[0].ended_s <= given_up_s
+        assert not backend.is_open
+
+    run_leased(test, drift=drift)
+
+
+def test_runs_of_a_former_incarnation_are_stopped_before_it_opens(run_leased):
+    async def test(worker, backend, nursery):
+        await wait_open(backend)
+        nursery.start_soon(order, backend, "left", 9.0)
+        await trio.sleep(0.1)
+        successor = make_backend(worker, fence=6)
+        nursery.start_soon(successor.serve)
+        await wait_open(successor)
+        assert worker.runs[0].ended_s <= trio.current_time()
+
+    run_leased(test)
+
+
+def test_token_of_a_clock_that_stepped_back_is_raised(run_leased):
+    async def test(worker, backend, nursery):
+        worker.fence = 10_000
+        await wait_open(backend)
+        assert (await order(backend)).status is Status.DONE
+
+    run_leased(test)
+
+
+def test_stalled_run_is_stopped(run_leased):
+    async def test(worker, backend, nursery):
+        await wait_open(backend)
+        worker.is_hung = True
+        started_s = trio.current_time()
+        outcome = await order(backend)
+        assert (outcome.status, outcome.reason) == (Status.STOPPED, "stalled")
+        assert trio.current_time() - started_s < 1.0
+
+    run_leased(test)
+
+
+def test_crashed_worker_that_rejoins_has_lost_its_runs(run_leased):
+    async def test(worker, backend, nursery):
+        await wait_open(backend)
+
+        async def crash():
+            await trio.sleep(0.3)
+            worker.crash()
+
+        nursery.start_soon(crash)
+        outcome = await order(backend, run_s=9.0)
+        assert outcome.status is Status.STOPPED
+        assert trio.current_time() < 2.0
+        again = await order(backend, attempt=2)
+        assert again.status is Status.DONE
+        assert overlapping_runs([worker]) == []
+
+    run_leased(test)
+
+
+def test_lower_run_than_one_that_ended_is_refused(run_leased):
+    async def test(worker, backend, nursery):
+        await wait_open(backend)
+        assert (await order(backend, attempt=2)).status is Status.DONE
+        outcome = await order(backend, attempt=1)
+        assert (outcome.status, outcome.reason) == (Status.NOT_STARTED, "superseded")
+
+    run_leased(test)
--- /dev/null
+++ b/tests/test_reruns.py
@@ -0,0 +1,193 @@
+"""Jobs whose tasks may run again: never two runs of one task at a time."""
+
+import random
+
+import pytest
+import trio
+
+from gooseberrylink.codes import Code
+from gooseberrylink.room import Room
+from gooseberrylink.standins.worker import FakeLeasedWorker, overlapping_runs
+from gooseberrylink.types import JobRequest, Promptness, RerunPolicy, TaskSpec
+
+LEASES = {"rerun_after_silence_s": 2.4}
+LINKS = {"lease_s": 0.6, "busy_heartbeat_s": 0.15, "idle_heartbeat_s": 0.3}
+RETRY_S = 1.3
+
+
+def make_job(label: str, *run_s: float, units: int = 1, **fields) -> JobRequest:
+    tasks = [
+        TaskSpec(
+            {"name": f"{label}.{index}", "run_s": seconds, "units": units},
+            seconds,
+            Room(units),
+        )
+        for index, seconds in enumerate(run_s)
+    ]
+    values = {
+        "customer": "shops",
+        "service": "dispatch",
+        "deadline_s": 10.0,
+        "job_id": label,
+        "reruns": RerunPolicy(2),
+    }
+    return JobRequest(tasks=tasks, **(values | fields))
+
+
+@pytest.fixture
+def run_leased_deployment(run_deployment):
+    """Returns a function that runs a test with entries and leased workers."""
+
+    def run(test, entries: int = 2, workers: int = 3, seed: int = 0, units: int = 8):
+        async def main(deployment):
+            async with trio.open_nursery() as nursery:
+                for number in range(entries):
+                    await deployment.add_entry(f"entry-{number}", **LEASES, **LINKS)
+                fakes = []
+                for number in range(workers):
+                    fake = FakeLeasedWorker(f"tank-{number}", nursery, units)
+                    nursery.start_soon(fake.work)
+                    fakes.append(fake)
+                    await deployment.add_leased_agent(fake)
+                await deployment.wait_connected()
+                await test(deployment, fakes)
+                nursery.cancel_scope.cancel()
+
+        run_deployment(main, seed)
+
+    return run
+
+
+def test_job_sent_again_after_its_entry_died_runs_once_at_a_time(
+    run_leased_deployment,
+):
+    async def test(deployment, workers):
+        first, second = deployment.entries
+        deployment.start_soon(lambda: submit_quietly(first, make_job("a", *[4.0] * 6)))
+        await trio.sleep(0.3)
+        await deployment.kill_entry(first)
+        await trio.sleep(RETRY_S)
+        answer = await second.submit(make_job("a", *[0.2] * 6))
+        assert answer.code is Code.OK
+        assert overlapping_runs(workers) == []
+
+    run_leased_deployment(test)
+
+
+def test_task_of_a_dead_agent_runs_again_when_its_lease_is_over(
+    run_leased_deployment,
+):
+    async def test(deployment, workers):
+        (entry,) = deployment.entries
+
+        async def kill():
+            await trio.sleep(0.3)
+            deployment.kill_agent("tank-0")
+
+        deployment.start_soon(kill)
+        answer = await entry.submit(make_job("a", *[1.0] * 12))
+        assert answer.code is Code.OK
+        assert overlapping_runs(workers) == []
+        assert max(run.key.attempt for w in workers for run in w.runs) > 1
+
+    run_leased_deployment(test, entries=1)
+
+
+def test_task_of_a_hung_worker_runs_elsewhere(run_leased_deployment):
+    async def test(deployment, workers):
+        workers[0].is_hung = True
+        (entry,) = deployment.entries
+        answer = await entry.submit(make_job("a", *[0.3] * 12))
+        assert answer.code is Code.OK
+        assert overlapping_runs(workers) == []
+
+    run_leased_deployment(test, entries=1)
+
+
+def test_caller_that_hangs_up_stops_its_tasks(run_leased_deployment):
+    async def test(deployment, workers):
+        (entry,) = deployment.entries
+        with trio.move_on_after(0.3):
+            await entry.submit(make_job("a", *[9.0] * 6))
+        await trio.sleep(0.5)
+        runs = [run for worker in workers for run in worker.runs]
+        assert len(runs) == 6
+        assert all(run.ended_s <= trio.current_time() for run in runs)
+
+    run_leased_deployment(test, entries=1)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_room_is_never_exceeded(run_leased_deployment, seed):
+    async def test(deployment, workers):
+        rng = random.Random(seed)
+        async with trio.open_nursery() as nursery:
+            for number in range(60):
+                entry = rng.choice(deployment.entries)
+                run_s = [rng.uniform(0.05, 0.8) for _ in range(rng.randint(1, 6))]
+                job = make_job(f"j{number}", *run_s, units=rng.randint(1, 5))
+                nursery.start_soon(submit_quietly, entry, job)
+                await trio.sleep(rng.expovariate(20))
+                faulty = rng.choice(workers)
+                faulty.late_s = rng.choice([0.0, 0.0, 0.0, 0.5])
+            for worker in workers:
+                worker.late_s = 0.0
+        assert all(worker.most_units <= worker.units for worker in workers)
+        assert overlapping_runs(workers) == []
+
+    run_leased_deployment(test, seed=seed)
+
+
+# The load at the crest of a swing.
+
+
+def test_task_that_fits_nowhere_holds_up_nobody(run_leased_deployment):
+    # bennani-eau scale-2, seconds 10 to 26: nothing behind it was placed.
+    async def test(deployment, workers):
+        (entry,) = deployment.entries
+        large = await entry.submit(make_job("large", 0.1, units=9))
+        assert (large.code, large.truth.value) == (Code.TASK_TOO_LARGE, "not run")
+        async with trio.open_nursery() as nursery:
+            for worker in range(3):
+                job = make_job(f"half-{worker}", 2.0, units=5)
+                nursery.start_soon(submit_quietly, entry, job)
+            await trio.sleep(0.1)
+            nursery.start_soon(submit_quietly, entry, make_job("wide", 0.1, units=8))
+            await trio.sleep(0.1)
+            with trio.fail_after(1.0):
+                small = await entry.submit(make_job("small", 0.1, units=2))
+            assert small.code is Code.OK
+
+    run_leased_deployment(test, entries=1)
+
+
+def test_job_that_can_not_be_prompt_is_refused_early(run_leased_deployment):
+    async def test(deployment, workers):
+        (entry,) = deployment.entries
+        prompt = {"promptness": Promptness(stretch=1.6, latency_s=0.06)}
+        answers, refused_s = [], []
+
+        async def submit(number):
+            began_s = trio.current_time()
+            job = make_job(f"j{number}", 0.4, 0.4, units=4, **prompt)
+            answer = await entry.submit(job)
+            answers.append(answer)
+            if answer.code is not Code.OK:
+                refused_s.append(trio.current_time() - began_s)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(40):
+                nursery.start_soon(submit, number)
+                await trio.sleep(0.05)
+        codes = {answer.code for answer in answers}
+        assert codes <= {Code.OK, Code.OVERLOADED, Code.EXPIRED_NOT_RUN}
+        assert refused_s and max(refused_s) <= 0.25 * (1.6 * 0.4 + 0.06) + 0.1
+        assert all(answer.retry_after_s for answer in answers if answer.code)
+        ran = {run.key.name.partition(".")[0] for w in workers for run in w.runs}
+        assert len(ran) == sum(answer.code is Code.OK for answer in answers)
+
+    run_leased_deployment(test, entries=1)
+
+
+async def submit_quietly(entry, job) -> None:
+    await entry.submit(job)
