Test the adapter against stand-ins that speak the published protocol

Settings with faults, unknown fields or no file; the desired state through an outage, a lost history, unreadable rows and an older version; late, foreign and unreadable heartbeats; kinds of job that are not supported; a store that is down, loses answers and regains.

--- /dev/null
+++ b/gooseberrylink/standins/store.py
@@ -0,0 +1,98 @@
+"""Stands in for the platform's table store, over its published protocol."""
+
+import base64
+from typing import Any
+
+import trio
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+
+class StoreStandin:
+    """Tables in memory, with a history that can be lost.
+
+    Attributes:
+        app: The ASGI application.
+        is_down: Whether every call gets 503.
+        loses_answers: Whether writes are done and then not confirmed.
+        calls: Paths of all calls.
+    """
+
+    def __init__(self):
+        self.is_down = False
+        self.loses_answers = False
+        self.calls: list[str] = []
+        self._rows: dict[tuple[str, str], dict[str, Any]] = {}
+        self._version = 0
+        self._lost_up_to = 0
+        self._changed = trio.Event()
+        self.app = Starlette(
+            routes=[
+                Route("/rows-get", self._get),
+                Route("/rows-feed", self._feed),
+                Route("/rows-tx", self._transact, methods=["POST"]),
+            ]
+        )
+
+    def put(self, table: str, key: str, value: bytes) -> None:
+        """Writes a row, as another writer would."""
+        self._version += 1
+        encoded = base64.b64encode(value).decode()
+        row = {"table": table, "key": key, "value": encoded, "ver": self._version}
+        self._rows[table, key] = row
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def lose_history(self) -> None:
+        """Drops what the feed would need to continue."""
+        self._lost_up_to = self._version
+
+    def value(self, table: str, key: str) -> bytes | None:
+        """Returns a row's value."""
+        row = self._rows.get((table, key))
+        return base64.b64decode(row["value"]) if row else None
+
+    async def _get(self, request: Request) -> Response:
+        self.calls.append(request.url.path)
+        if self.is_down:
+            return JSONResponse({}, 503)
+        return self._answer(self._newer(request.query_params["table"], 0))
+
+    async def _feed(self, request: Request) -> Response:
+        self.calls.append(request.url.path)
+        query = request.query_params
+        after = int(query["after"])
+        if self.is_down:
+            return JSONResponse({}, 503)
+        if after < self._lost_up_to:
+            return JSONResponse({}, 410)
+        with trio.move_on_after(int(query["waitMs"]) / 1000):
+            while not self._newer(query["table"], after):
+                await self._changed.wait()
+        return self._answer(self._newer(query["table"], after))
+
+    async def _transact(self, request: Request) -> Response:
+        self.calls.append(request.url.path)
+        if self.is_down:
+            return JSONResponse({}, 503)
+        body = await request.json()
+        for put in body["puts"]:
+            value = base64.b64decode(put["value"])
+            self.put(put["table"], put["key"], value)
+        if self.loses_answers:
+            await trio.sleep_forever()
+        return JSONResponse({"ver": self._version, "nowMs": 0})
+
+    def _newer(self, table: str, version: int) -> list[dict[str, Any]]:
+        rows = [
+            row
+            for (name, _), row in self._rows.items()
+            if name == table and row["ver"] > version
+        ]
+        return sorted(rows, key=lambda row: row["ver"])
+
+    def _answer(self, rows: list[dict[str, Any]]) -> Response:
+        body = {"rows": rows, "hasMore": False, "ver": self._version, "nowMs": 0}
+        return JSONResponse(body)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,326 @@
+"""The adapter: settings, desired state, heartbeats, clients' jobs, the store."""
+
+import json
+import pathlib
+
+import httpcore
+import pytest
+import trio
+import yaml
+
+from gooseberrylink.backends.incarnations import Incarnations
+from gooseberrylink.backends.server import Announcement
+from gooseberrylink.codes import Code
+from gooseberrylink.counters import Counters
+from gooseberrylink.exceptions import ConfigError, RefusedError
+from gooseberrylink.http_server import serve_http
+from gooseberrylink.operators.configuration import Configuration
+from gooseberrylink.operators.declarations import Queue
+from gooseberrylink.platform import front
+from gooseberrylink.platform.desired_state import FeedSource
+from gooseberrylink.platform.heartbeats import Heartbeats
+from gooseberrylink.platform.settings import read_settings
+from gooseberrylink.platform.store import PlatformStore
+from gooseberrylink.room import Room
+from gooseberrylink.standins.store import StoreStandin
+from gooseberrylink.store import Rows, StoreTrouble, put_until_done
+
+SETTINGS = {
+    "node": "edge-1",
+    "ip": "10.0.0.1",
+    "zone": "north",
+    "zones": {"north": "coast", "south": "coast"},
+    "bindAddresses": {"front": "10.0.0.1:1", "readiness": "10.0.0.1:2"},
+    "internalPorts": [7000, 7015],
+    "seeds": ["10.0.0.9:3"],
+    "platform": {"address": "10.9.0.1:4", "form": "table"},
+    "bounds": {"holdMaxMs": 800},
+    "somethingNew": {"a": 1},
+}
+STATE = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "Shop.example",
+            "pathPrefix": "/a/",
+            "service": "s",
+            "maxAttempts": 2,
+            "stretch": 1.6,
+            "targetLatencyMs": 60,
+        },
+        {"name": "r-2", "host": "shop.example", "pathPrefix": "/a/b/", "service": "s"},
+    ],
+    "services": [{"name": "s", "admissionCheck": False}],
+    "limits": {"maxBodyBytes": 4096},
+}
+QUEUE = Queue(
+    name="r-1", host="h", path_prefix="/a/", service="s", max_failures=2, stretch=1.6
+)
+
+
+class FakeTaker:
+    """Keeps what a source of configurations hands over."""
+
+    def __init__(self):
+        self.configuration = Configuration()
+        self.confirmed = 0
+
+    @property
+    def version(self) -> int:
+        return self.configuration.version
+
+    def adopt(self, version, text, source):
+        self.configuration.adopt(version, text, source)
+
+    def confirm(self):
+        self.confirmed += 1
+
+    def source_failed(self, reason):
+        pass
+
+
+@pytest.fixture
+def write_settings(tmp_path):
+    def write(**changes) -> pathlib.Path:
+        path = tmp_path / "settings.yaml"
+        path.write_text(yaml.safe_dump(SETTINGS | changes))
+        return path
+
+    return write
+
+
+@pytest.fixture
+def run_with_store():
+    """Returns a function that runs a test with a store over HTTP."""
+
+    def run(test):
+        async def main():
+            async with trio.open_nursery() as nursery:
+                standin = StoreStandin()
+                address = await nursery.start(
+                    serve_http, standin.app, "127.0.0.1:0", trio.sleep_forever
+                )
+                with trio.fail_after(20):
+                    await test(standin, PlatformStore(address), nursery)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    return run
+
+
+def test_settings_take_what_they_know(write_settings):
+    settings = read_settings(write_settings())
+    assert settings.link_port == 7000
+    assert settings.seed_links == ["10.0.0.9:7000"]
+    assert settings.bounds.hold_max_ms == 800
+
+
+@pytest.mark.parametrize(
+    ("changes", "field"),
+    [
+        ({"ip": None}, "ip"),
+        ({"platform": {}}, "platform.address"),
+        ({"bounds": {"holdMaxMs": "soon"}}, "bounds.holdMaxMs"),
+        ({"zones": {}}, "zones"),
+    ],
+)
+def test_faults_in_settings_name_the_field(write_settings, changes, field):
+    with pytest.raises(ConfigError) as error:
+        read_settings(write_settings(**changes))
+    assert f": {field}: " in str(error.value)
+
+
+def test_unreadable_settings_end_the_start(tmp_path):
+    with pytest.raises(ConfigError, match="can't be read"):
+        read_settings(tmp_path / "none.yaml")
+
+
+def test_desired_state_is_followed_through_lost_history(run_with_store):
+    async def test(standin, store, nursery):
+        standin.put("op", "config", json.dumps(STATE).encode())
+        taker = FakeTaker()
+        source = FeedSource(store, SETTINGS["zones"], Counters("entry", "e"))
+        nursery.start_soon(source.run, taker)
+        await wait_for_version(taker, 7)
+        queue = taker.configuration.queue("SHOP.example", "/a/b/0123")
+        assert (queue.name, queue.path_prefix) == ("r-2", "/a/b/")
+        assert taker.configuration.queue("shop.example", "/a/1").max_failures == 2
+        assert taker.configuration.queue("shop.example", "/c/1") is None
+        standin.put("op", "config", b"no json")
+        standin.put("op", "config", json.dumps(STATE | {"version": 9}).encode())
+        await wait_for_version(taker, 9)
+        standin.is_down = True
+        await trio.sleep(1.2)
+        standin.lose_history()
+        standin.put("op", "config", json.dumps(STATE | {"version": 12}).encode())
+        standin.is_down = False
+        await wait_for_version(taker, 12)
+        standin.put("op", "config", json.dumps(STATE | {"version": 11}).encode())
+        await trio.sleep(0.2)
+        assert taker.version == 12
+
+    run_with_store(test)
+
+
+async def wait_for_version(taker, version: int) -> None:
+    with trio.fail_after(5):
+        while taker.version != version:
+            await trio.sleep(0.01)
+
+
+def test_store_tells_trouble_apart(run_with_store):
+    async def test(standin, store, nursery):
+        assert await store.put("t", "k", b"\x00v") is None
+        rows = await store.read_table("t")
+        assert isinstance(rows, Rows)
+        assert [(row.key, row.value) for row in rows.rows] == [("k", b"\x00v")]
+        standin.put("t", "k", b"2")
+        standin.lose_history()
+        lost = await store.changes("t", rows.version, 0.1)
+        assert lost is StoreTrouble.HISTORY_LOST
+        standin.loses_answers = True
+        assert await store.put("t", "k", b"3") is StoreTrouble.UNKNOWN_OUTCOME
+        assert standin.value("t", "k") == b"3"
+        standin.is_down = True
+        assert await store.put("t", "k", b"4") is StoreTrouble.NO_EFFECT
+
+    run_with_store(test)
+
+
+def test_entry_is_announced_when_the_store_returns(run_with_store):
+    async def test(standin, store, nursery):
+        standin.is_down = True
+        counters = Counters("entry", "e")
+        nursery.start_soon(put_until_done, store, "t", "e", b"here", counters)
+        await trio.sleep(0.5)
+        standin.is_down = False
+        await trio.sleep(1.2)
+        assert standin.value("t", "e") == b"here"
+        assert counters.get("store_writes_failed", "no_effect") > 0
+
+    run_with_store(test)
+
+
+class FakeAgent:
+    """Notes what is attached and detached."""
+
+    def __init__(self):
+        self.counters = Counters("agent", "a")
+        self.events: list[str] = []
+
+    def attach_backend(self, backend, announcement):
+        self.events.append(f"attach {announcement.incarnation}")
+
+    def detach_backend(self, reason):
+        self.events.append(f"detach {reason}")
+
+
+class FakeLife:
+    """A backend server's client of which only the end matters."""
+
+    def __init__(self, agent, announcement):
+        self._agent, self._name = agent, announcement.incarnation
+
+    def vanish(self, reason):
+        self._agent.events.append(f"vanish {self._name}")
+
+
+def announce(name: str, born_ms: int, address: str = "w:1") -> Announcement:
+    return Announcement("s", address, 8, incarnation=name, born_ms=born_ms)
+
+
+def test_late_heartbeats_of_a_former_life_change_nothing():
+    agent = FakeAgent()
+    lives = Incarnations(agent, lambda said: FakeLife(agent, said))
+    lives.take(announce("i-1", 100), 5, False)
+    lives.take(announce("i-1", 100), 4, True)
+    lives.take(announce("i-2", 200), 1, False)
+    lives.take(announce("i-1", 100), 9, True)
+    assert agent.events == [
+        "attach i-1",
+        "detach replaced",
+        "vanish i-1",
+        "attach i-2",
+    ]
+    lives.take(announce("i-2", 300), 1, False)
+    assert agent.events[-1] == "attach i-2"
+    lives.take(announce("i-2", 300), 2, True)
+    lives.take(announce("i-2", 300), 3, True)
+    lives.leave("i-2")
+    assert agent.events[-2:] == ["attach i-2", "detach draining"]
+
+
+def test_new_worker_elsewhere_leaves_the_former_its_runs():
+    agent = FakeAgent()
+    lives = Incarnations(agent, lambda said: FakeLife(agent, said))
+    lives.take(announce("i-1", 100), 1, False)
+    lives.take(announce("i-2", 200, "w:2"), 1, False)
+    assert "vanish i-1" not in agent.events
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"\xff\x00",
+        b"[]",
+        b'{"service": "s"}',
+        b'{"service": 7, "address": "a:1", "state": "ready", "capacity": {"cpu": 1},'
+        b' "sequence": 1}',
+        b'{"service": "other", "address": "a:1", "state": "ready",'
+        b' "capacity": {"cpu": 1}, "sequence": 1}',
+        b'{"service": "s", "address": "a:1", "state": "asleep",'
+        b' "capacity": {"cpu": 1}, "sequence": 1}',
+    ],
+)
+def test_foreign_heartbeats_are_skipped(body):
+    agent = FakeAgent()
+    lives = Incarnations(agent, lambda said: FakeLife(agent, said))
+    app = Heartbeats("s", lives, agent.counters).app
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(
+                serve_http, app, "127.0.0.1:0", trio.sleep_forever
+            )
+            async with httpcore.AsyncConnectionPool() as pool:
+                url = f"http://{address}/Instances.Heartbeat/i-1"
+                response = await pool.request("POST", url, content=body)
+            nursery.cancel_scope.cancel()
+        return response.status
+
+    assert trio.run(main) == 400
+    assert agent.events == []
+    assert agent.counters.get("heartbeats_skipped") == 1
+
+
+def test_job_is_decoded():
+    step = {"count": 2, "cpu": 1600, "memMb": 64, "estimateMs": 120}
+    body = json.dumps({"spec": "x", "bestEffort": True, "steps": [step]}).encode()
+    job = front._request(QUEUE, "00ff", {"x-deadline-ms": "2500"}, body)
+    assert (job.deadline_s, job.job_id, job.reruns.max_failures) == (2.5, "00ff", 2)
+    assert [task.payload.name for task in job.tasks] == ["00ff.0.0.0", "00ff.0.0.1"]
+    assert {task.room for task in job.tasks} == {Room(1600, 64, 0)}
+
+
+@pytest.mark.parametrize(
+    ("job", "code"),
+    [
+        ({}, Code.MALFORMED_JOB),
+        ({"spec": "x", "steps": [{"count": "two"}]}, Code.MALFORMED_JOB),
+        ({"spec": "x", "steps": [{"count": 1}]}, Code.UNSUPPORTED_JOB),
+        (
+            {"spec": "x", "bestEffort": True, "steps": [{"count": 1, "gang": True}]},
+            Code.UNSUPPORTED_JOB,
+        ),
+        (
+            {"spec": "x", "bestEffort": True, "steps": [{"count": 1}] * 2},
+            Code.UNSUPPORTED_JOB,
+        ),
+    ],
+)
+def test_jobs_that_can_not_be_run_are_refused(job, code):
+    with pytest.raises(RefusedError) as error:
+        front._request(QUEUE, "00ff", {}, json.dumps(job).encode())
+    assert error.value.code is code
