Log each decision that touches a task, never blocking, and export histograms

A line for each assignment with the room believed free and the age of that word, each refusal by an agent, each order to a backend server with its reply, each end; lines go to a thread over a bounded queue, at most 1000 a second, and what is dropped is counted in the log.

--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -280,6 +280,14 @@
     async def _run(self, run: _Run, payload: Any) -> BackendOutcome:
         reply = await self._start(run, payload)
         self._counters.add("run_orders", reply.value)
+        self._counters.observe("run_order", trio.current_time() - run.ordered_s)
+        log_event(
+            "run_ordered",
+            run=run.key.name,
+            attempt=run.key.attempt,
+            reply=reply.value,
+            heard_s_ago=trio.current_time() - self._heard_s,
+        )
         if reply is StartReply.MALFORMED:
             return BackendOutcome(Status.FAILED, reason="backend_refused_payload")
         if reply is StartReply.STARTED:
@@ -287,7 +295,6 @@
             run.begun_s = run.begun_s or now_s
             run.moved_s = min(run.moved_s, now_s)
         elif reply is StartReply.UNANSWERED:
-            log_event("run_unanswered", "WARNING", run=run.key.name)
             self._stop_soon(run)
         elif run.begun_s is None:
             return BackendOutcome(Status.NOT_STARTED, reason=reply.value)
@@ -320,6 +327,14 @@
         if run.end is None:
             run.end = kind
             self._counters.add("run_ends", kind.value)
+            log_event(
+                "run_ended",
+                run=run.key.name,
+                attempt=run.key.attempt,
+                how=kind.value,
+                progress=run.progress,
+                took_s=trio.current_time() - run.ordered_s,
+            )
             run.ended.set()
 
     def _stop_soon(self, run: _Run) -> None:
--- a/gooseberrylink/counters.py
+++ b/gooseberrylink/counters.py
@@ -5,6 +5,10 @@
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
+from gooseberrylink.latency import ValueHistogram
+
+_PERCENTS = (50.0, 95.0, 99.0, 100.0)
+
 
 class Counters:
     """Counters of one process.
@@ -23,6 +27,7 @@
         self.name = name
         self._counts: collections.Counter[tuple[str, str]] = collections.Counter()
         self._gauges: dict[str, float] = {}
+        self._histograms: dict[str, ValueHistogram] = {}
         self._registry = CollectorRegistry()
         self._registry.register(self)
 
@@ -34,6 +39,13 @@
         """Sets a gauge, such as the length of the queue."""
         self._gauges[metric] = value
 
+    def observe(self, metric: str, seconds: float) -> None:
+        """Records a time in a histogram; metric is a name without its unit."""
+        histogram = self._histograms.get(metric)
+        if histogram is None:
+            histogram = self._histograms[metric] = ValueHistogram()
+        histogram.record(seconds)
+
     def get(self, metric: str, reason: str = "") -> int:
         """Returns the value of one counter; 0 if it was never added to."""
         return self._counts[metric, reason]
@@ -65,6 +77,20 @@
             gauge = GaugeMetricFamily(f"gooseberrylink_{name}", name, labels=labels)
             gauge.add_metric([self.role, self.name], value)
             yield gauge
+        for name, histogram in sorted(self._histograms.items()):
+            yield from self._histogram_families(name, histogram)
+
+    def _histogram_families(self, name: str, histogram: ValueHistogram):
+        full_name = f"gooseberrylink_{name}_seconds"
+        times = GaugeMetricFamily(full_name, name, labels=["role", "process", "p"])
+        for percent in _PERCENTS:
+            labels = [self.role, self.name, str(percent)]
+            times.add_metric(labels, histogram.percentile(percent))
+        yield times
+        labels = ["role", "process"]
+        count = CounterMetricFamily(f"{full_name}_count", name, labels=labels)
+        count.add_metric([self.role, self.name], histogram.count)
+        yield count
 
     def exposition(self) -> bytes:
         """Returns all counters in the Prometheus text format."""
--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -248,6 +248,15 @@
             self._notify(task.job)
             return
         self._counters.add("retries", reason)
+        if task.job.request.reruns is not None:
+            log_event(
+                "task_refused",
+                job=task.job.request.job_id,
+                task=task.index,
+                attempt=task.attempts,
+                worker=task.worker,
+                reason=reason,
+            )
         if self._budget.spend():
             self._requeue(task)
         else:
@@ -439,11 +448,25 @@
         task.worker = peer.worker
         task.attempts += 1
         task.assigned_s = trio.current_time()
+        if task.attempts == 1:
+            waited_s = task.assigned_s - task.job.submitted_s
+            self._counters.observe("task_wait", waited_s)
         lane.in_flight += 1
         if task.attempts == 1:
             self._budget.earn()
         self._counters.add("assigns")
         customer = task.job.request.customer
+        if task.job.request.reruns is not None:
+            log_event(
+                "task_assigned",
+                job=task.job.request.job_id,
+                task=task.index,
+                attempt=task.attempts,
+                worker=peer.worker,
+                free_units=peer.free,
+                heard_s_ago=task.assigned_s - peer.heard_s,
+                waited_s=task.assigned_s - task.job.submitted_s,
+            )
         hints = AssignHints(
             self._policy.is_holding,
             self._trust.is_trusted(customer),
--- a/gooseberrylink/entry.py
+++ b/gooseberrylink/entry.py
@@ -110,6 +110,8 @@
             answer = Answer(error.code, error.detail, retry_after_s=error.retry_after_s)
             _log_answer("job_refused", request, "", answer, started_s)
         self.answer_time.record(trio.current_time() - started_s)
+        answer_s = trio.current_time() - started_s
+        self.counters.observe(f"answer_{answer.code.name.lower()}", answer_s)
         self.counters.add("answers", answer.code.name.lower())
         if answer.code.name != "OK":
             self.counters.add("refusals", answer.code.name.lower())
--- a/gooseberrylink/logs.py
+++ b/gooseberrylink/logs.py
@@ -1,16 +1,87 @@
-"""Writes one key=value line for each event."""
+"""Writes one key=value line for each event, without ever waiting for a reader."""
 
+import atexit
+import queue
 import sys
+import threading
+import time
 
 from loguru import logger
 
 _FORMAT = "time={time:YYYY-MM-DDTHH:mm:ss.SSSZ} level={level} {message}"
+# Lines that wait for a slow reader; about a megabyte.
+_MAX_WAITING_LINES = 4000
+# Bounds the volume under load: two lines a job and two a task, at 100 jobs/s.
+_MAX_LINES_PER_S = 1000
+_BATCH_LINES = 200
+_FLUSH_TIMEOUT_S = 0.5
+
+
+class _Writer:
+    """Writes lines to standard output on a thread of its own.
+
+    What exceeds the bounds is dropped, and the number of lines dropped is
+    written with the next line.
+    """
+
+    def __init__(self):
+        self._waiting: queue.Queue[str] = queue.Queue(_MAX_WAITING_LINES)
+        self._dropped = 0
+        self._second = 0
+        self._lines = 0
+        threading.Thread(target=self._run, name="logs", daemon=True).start()
+        atexit.register(self.flush)
+
+    def put(self, line: str) -> None:
+        """Takes a line, or drops it."""
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second, self._lines = second, 0
+        self._lines += 1
+        if self._lines > _MAX_LINES_PER_S:
+            self._dropped += 1
+            return
+        if self._dropped:
+            line = (
+                f"level=WARNING event=log_lines_dropped count={self._dropped}\n{line}"
+            )
+        try:
+            self._waiting.put_nowait(line)
+            self._dropped = 0
+        except queue.Full:
+            self._dropped += 1
+
+    def flush(self) -> None:
+        """Waits a moment until everything is written."""
+        ends_s = time.monotonic() + _FLUSH_TIMEOUT_S
+        while self._waiting.unfinished_tasks and time.monotonic() < ends_s:
+            time.sleep(0.005)
+
+    def _run(self) -> None:
+        while True:
+            lines = [self._waiting.get()]
+            while len(lines) < _BATCH_LINES and not self._waiting.empty():
+                lines.append(self._waiting.get())
+            try:
+                sys.stdout.write("".join(lines))
+                sys.stdout.flush()
+            except (OSError, ValueError):
+                # Nobody reads any more; the process's work goes on.
+                pass
+            for _ in lines:
+                self._waiting.task_done()
+
+
+_writer: _Writer | None = None
 
 
 def configure_logs(level: str = "INFO") -> None:
     """Sends events to standard output, one key=value line each."""
+    global _writer
+    if _writer is None:
+        _writer = _Writer()
     logger.remove()
-    logger.add(sys.stdout, format=_FORMAT, level=level)
+    logger.add(_writer.put, format=_FORMAT, level=level)
 
 
 def log_event(event: str, level: str = "INFO", **fields: object) -> None:
@@ -23,7 +94,7 @@
     """
     pairs = [f"event={event}"]
     pairs += [f"{name}={_quote(value)}" for name, value in fields.items()]
-    logger.opt(depth=1).log(level, "{}", " ".join(pairs))
+    logger.log(level, "{}", " ".join(pairs))
 
 
 def _quote(value: object) -> str:
