Send a task to no worker again where its run failed or stood still

Change: a task keeps the workers of its earlier runs, and others go first. Test: test_task_goes_to_no_worker_where_it_stood_still, red before, green after.

--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -316,6 +316,7 @@
         if job.request.reruns is None:
             return False
         job.has_run = True
+        task.avoided.add(task.worker)
         self._counters.add("reruns", reason)
         log_event(
             "task_rerun",
--- a/gooseberrylink/routing.py
+++ b/gooseberrylink/routing.py
@@ -88,6 +88,10 @@
         self, task: Task, peers: list[AgentPeer], now_s: float
     ) -> AgentPeer | None:
         """See RoutingPolicy."""
+        if task.avoided:
+            # It would probably fail or stand still there again.
+            others = [peer for peer in peers if peer.worker not in task.avoided]
+            peers = others if any(peer.can_serve for peer in others) else peers
         best, best_score = None, 0.0
         slowest = self._slowest_of_use(peers, now_s)
         for peer in peers:
--- a/gooseberrylink/types.py
+++ b/gooseberrylink/types.py
@@ -117,6 +117,7 @@
         attempts: How often it was assigned, for retry accounting.
         failures: How many of its runs failed.
         assigned_s: When it was last assigned.
+        avoided: Workers at which a run of it failed or was cut short.
     """
 
     task_id: str
@@ -131,6 +132,7 @@
     attempts: int = 0
     failures: int = 0
     assigned_s: float = 0.0
+    avoided: set[str] = dataclasses.field(default_factory=set)
 
     @property
     def assignment_id(self) -> str:
--- a/tests/test_reruns.py
+++ b/tests/test_reruns.py
@@ -104,6 +104,20 @@
     run_leased_deployment(test, entries=1)
 
 
+def test_task_goes_to_no_worker_where_it_stood_still(run_leased_deployment):
+    # cpfm-plaques scale-2, second 8: the second run of a task went back to the
+    # hung worker, as that had most room.
+    async def test(deployment, workers):
+        workers[0].is_hung = True
+        (entry,) = deployment.entries
+        for number in range(3):
+            answer = await entry.submit(make_job(f"j{number}", 0.3))
+            assert answer.code is Code.OK
+        assert {run.key.attempt for run in workers[0].runs} == {1}
+
+    run_leased_deployment(test, entries=1)
+
+
 def test_caller_that_hangs_up_stops_its_tasks(run_leased_deployment):
     async def test(deployment, workers):
         (entry,) = deployment.entries
