--- a/gooseberrylink/lane.py
+++ b/gooseberrylink/lane.py
@@ -53,11 +53,20 @@
         """Returns how many tasks of this entry probably run at once under load.
 
         Other entries use the same slots. What this entry has in flight while
-        its queue is not empty is its share.
+        its queue is not empty is its share, or more is free just now: after an
+        outage, or when agents have just come, little is in flight yet.
         """
+        all_tasks = self.slots() / max(1.0, self.task_units)
         if len(self.queue):
-            return max(1.0, float(self.in_flight))
-        return max(1.0, self.slots() / max(1.0, self.task_units))
+            return max(
+                1.0, float(self.in_flight), self._credits() / max(1.0, self.task_units)
+            )
+        return max(1.0, all_tasks)
+
+    def _credits(self) -> float:
+        """Returns the units in use and free that this entry has at its agents."""
+        free = sum(max(0, peer.free) for peer in self.peers)
+        return free + self.in_flight * self.task_units
 
     def wait_s(self, order: tuple[int, float]) -> float:
         """Estimates how long a task with this order key would wait."""
--- a/tests/test_reruns.py
+++ b/tests/test_reruns.py
@@ -205,3 +205,23 @@
 
 async def submit_quietly(entry, job) -> None:
     await entry.submit(job)
+
+
+def test_wait_is_estimated_from_what_is_free_too(run_leased_deployment):
+    # bennani-eau scale-2, second 38: all hosts were back, with few tasks in
+    # flight, and 120 jobs were refused as if so few could run at once.
+    async def test(deployment, workers):
+        (entry,) = deployment.entries
+        prompt = {"promptness": Promptness(stretch=1.6, latency_s=0.06)}
+        async with trio.open_nursery() as nursery:
+            for number in range(3):
+                job = make_job(f"long-{number}", 2.0, units=5)
+                nursery.start_soon(submit_quietly, entry, job)
+            await trio.sleep(0.1)
+            wide = make_job("wide", 0.35, 0.35, units=8, **prompt)
+            nursery.start_soon(submit_quietly, entry, wide)
+            await trio.sleep(0.01)
+            answer = await entry.submit(make_job("small", 0.4, **prompt))
+        assert answer.code is Code.OK
+
+    run_leased_deployment(test, entries=1)
