Tell lives of a worker apart by its start, in what it says of its runs

The same blindness let the agent acknowledge ends of the new life before it had seen them, and left a start from before the crash free to be carried out after it. Change: each answer of a worker carries its start. With another one, runs that had begun are over; those without an answer end as possibly begun, and only after the worker has seen a higher fencing token, which bars late orders; ends are counted from zero.

--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -118,12 +118,15 @@
         progress: Share done of each running task, 0 to 1.
         ends: Ends that were not taken note of.
         is_whole: Whether all such ends are listed.
+        born_ms: When it was started, in Unix milliseconds; 0 if unknown. With
+            another start it knows nothing of before, and its counts begin anew.
     """
 
     clock_ms: int
     progress: dict[RunKey, float]
     ends: list[RunEnd]
     is_whole: bool = True
+    born_ms: int = 0
 
 
 class LeasedWorker(Protocol):
@@ -227,6 +230,7 @@
         self._clock_ms = 0
         self._clock_s = 0.0
         self._is_answering = False
+        self._born_ms = 0
         self._heard_s = trio.current_time()
         self._lease_end_s = 0.0
         self._is_closed = False
@@ -385,6 +389,11 @@
 
     def _apply(self, view: WorkerView, asked_s: float) -> None:
         self._clock_ms, self._clock_s = view.clock_ms, self._heard_s
+        if view.born_ms != self._born_ms:
+            if self._born_ms:
+                self._note_rebirth(view.born_ms)
+                asked_s = -math.inf
+            self._born_ms = view.born_ms
         for end in view.ends:
             self._seen_up_to = max(self._seen_up_to, end.number)
             run = self._runs.get(end.key)
@@ -397,6 +406,21 @@
         is_well = not strays and not self._is_frozen()
         self._set_open(is_well and not self._is_closed)
 
+    def _note_rebirth(self, born_ms: int) -> None:
+        """Gives up the runs of a backend server that started again under its id.
+
+        An order without an answer may have been carried out before, or may be
+        yet. A higher token bars it once the backend server has seen that.
+        """
+        log_event("backend_reborn", born_ms=born_ms, runs=len(self._runs))
+        self._seen_up_to = 0
+        self._raise_fence()
+        for run in list(self._runs.values()):
+            if run.begun_s is not None:
+                self._finish(run, EndKind.VANISHED)
+            else:
+                run.begun_s = run.barred_s = self._heard_s
+
     def _note_running(self, view: WorkerView) -> int:
         """Notes progress; stops runs that nobody here ordered.
 
--- a/gooseberrylink/platform/worker.py
+++ b/gooseberrylink/platform/worker.py
@@ -79,10 +79,12 @@
     """What runs on the worker, and what ended there.
 
     Rows of `running` are [task, run, checkpoint, percent, ...], and rows of
-    `ended` are [number, task, run, how, checkpoint].
+    `ended` are [number, task, run, how, checkpoint]. `born` is the start of this
+    life in Unix milliseconds.
     """
 
     clock_ms: int
+    born: int = 0
     running: list[list[Any]] = []
     ended: list[list[Any]] = []
 
@@ -169,7 +171,7 @@
         for row in answer.ended
     ]
     is_whole = len(ends) < _ENDS_PER_ANSWER
-    return WorkerView(answer.clock_ms, progress, ends, is_whole)
+    return WorkerView(answer.clock_ms, progress, ends, is_whole, answer.born)
 
 
 def _reason(answer: Response) -> str:
--- a/gooseberrylink/soak/worker_api.py
+++ b/gooseberrylink/soak/worker_api.py
@@ -2,7 +2,6 @@
 
 import itertools
 import json
-import time
 
 import httpcore
 import trio
@@ -34,7 +33,6 @@
     def __init__(self, worker: FakeLeasedWorker, service: str):
         self._worker = worker
         self._service = service
-        self._born_ms = int(time.time() * 1000)
         self.app = Starlette(
             routes=[
                 Route("/run-start", self._start, methods=["POST"]),
@@ -53,7 +51,7 @@
                 "state": "ready",
                 "capacity": {"cpu": self._worker.units, "memMb": 65536, "gpu": 0},
                 "sequence": sequence,
-                "born": self._born_ms,
+                "born": self._worker.born_ms,
             }
             with trio.move_on_after(_HEARTBEAT_TIMEOUT_S):
                 try:
@@ -99,7 +97,7 @@
             [end.number, end.key.name, end.key.attempt, end.kind.value, ""]
             for end in view.ends
         ]
-        return self._answer(200, running=running, ended=ended)
+        return self._answer(200, running=running, ended=ended, born=view.born_ms)
 
     async def _order(self, reply: OrderReply) -> Response:
         if reply is OrderReply.UNANSWERED:
--- a/gooseberrylink/standins/worker.py
+++ b/gooseberrylink/standins/worker.py
@@ -47,6 +47,7 @@
         late_s: If set, orders get no answer and are carried out that much later.
         is_hung: Whether runs stand still.
         drift: How much its clock is slow.
+        born_ms: Start of its present life.
     """
 
     def __init__(
@@ -61,6 +62,7 @@
         self.late_s = 0.0
         self.is_hung = False
         self.fence = 0
+        self.born_ms = 1_000_000
         self._nursery = nursery
         self._running: dict[RunKey, RanTask] = {}
         self._done_s: dict[RunKey, float] = {}
@@ -82,7 +84,8 @@
                     self._end(key, EndKind.DONE)
 
     def crash(self) -> None:
-        """Loses all runs, and what it knew of them."""
+        """Loses all runs, and what it knew of them; it starts again at once."""
+        self.born_ms += 1
         for key in list(self._running):
             self._end(key, EndKind.VANISHED)
         self._ends.clear()
@@ -121,7 +124,8 @@
             key: min(1.0, self._done_s[key] / run.work_s)
             for key, run in self._running.items()
         }
-        return WorkerView(self.clock_ms(), progress, list(self._ends))
+        ends = list(self._ends)
+        return WorkerView(self.clock_ms(), progress, ends, True, self.born_ms)
 
     async def _carry_out(self, order: Callable[[], Any], no_answer: Any) -> Any:
         if self.is_silent:
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -157,6 +157,56 @@
     run_leased(test)
 
 
+def test_run_that_began_unanswered_before_a_crash_is_not_called_unstarted(run_leased):
+    # Soak seed 31: its job was refused as not run.
+    async def test(worker, backend, nursery):
+        await wait_open(backend)
+        worker.late_s = 0.1
+
+        async def crash():
+            await trio.sleep(0.2)
+            worker.late_s = 0.0
+            worker.crash()
+
+        nursery.start_soon(crash)
+        outcome = await order(backend, run_s=9.0)
+        assert len(worker.runs) == 1
+        assert outcome.status is Status.STOPPED
+
+    run_leased(test)
+
+
+def test_order_from_before_a_crash_is_barred_before_the_run_is_given_up(run_leased):
+    async def test(worker, backend, nursery):
+        await wait_open(backend)
+        worker.late_s = 1.5
+
+        async def crash():
+            await trio.sleep(0.1)
+            worker.late_s = 0.0
+            worker.crash()
+
+        nursery.start_soon(crash)
+        outcome = await order(backend, run_s=9.0)
+        assert outcome.status is Status.STOPPED
+        await trio.sleep(3)
+        assert worker.runs == []
+
+    run_leased(test)
+
+
+def test_ends_are_counted_anew_after_a_crash(run_leased):
+    async def test(worker, backend, nursery):
+        await wait_open(backend)
+        for name in ("a", "b", "c"):
+            await order(backend, name)
+        worker.crash()
+        await trio.sleep(0.5)
+        assert (await order(backend, "d")).status is Status.DONE
+
+    run_leased(test)
+
+
 def test_lower_run_than_one_that_ended_is_refused(run_leased):
     async def test(worker, backend, nursery):
         await wait_open(backend)
