Keep runs of a worker's new life when that life is first heard of

Change: a rebirth ends nothing by itself; what is not listed in a look that was asked after the run began has ended, as ever.

--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -392,7 +392,6 @@
         if view.born_ms != self._born_ms:
             if self._born_ms:
                 self._note_rebirth(view.born_ms)
-                asked_s = -math.inf
             self._born_ms = view.born_ms
         for end in view.ends:
             self._seen_up_to = max(self._seen_up_to, end.number)
@@ -407,18 +406,17 @@
         self._set_open(is_well and not self._is_closed)
 
     def _note_rebirth(self, born_ms: int) -> None:
-        """Gives up the runs of a backend server that started again under its id.
+        """Notes that the backend server started again under its id.
 
-        An order without an answer may have been carried out before, or may be
-        yet. A higher token bars it once the backend server has seen that.
+        A run that is known to have begun may be one of the new life; if not, it
+        is not listed. An order without an answer may have been carried out
+        before, or may be yet: a higher token bars it once that was seen.
         """
         log_event("backend_reborn", born_ms=born_ms, runs=len(self._runs))
         self._seen_up_to = 0
         self._raise_fence()
         for run in list(self._runs.values()):
-            if run.begun_s is not None:
-                self._finish(run, EndKind.VANISHED)
-            else:
+            if run.begun_s is None:
                 run.begun_s = run.barred_s = self._heard_s
 
     def _note_running(self, view: WorkerView) -> int:
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -195,6 +195,17 @@
     run_leased(test)
 
 
+def test_run_of_a_new_life_is_kept_when_that_life_is_first_heard_of(run_leased):
+    # Soak seeds 40, 42 and 43: it was given up and begun elsewhere.
+    async def test(worker, backend, nursery):
+        await wait_open(backend)
+        worker.crash()
+        assert (await order(backend)).status is Status.DONE
+        assert len(worker.runs) == 1
+
+    run_leased(test)
+
+
 def test_ends_are_counted_anew_after_a_crash(run_leased):
     async def test(worker, backend, nursery):
         await wait_open(backend)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,6 +9,7 @@
 SEEDS = [
     1,
     31,  # A run that began unanswered before a crash was called not begun.
+    40,  # A run of a worker's new life was given up with those of the former.
 ]
 DURATION_S = 8.0
 
