Keep the client of a backend server that restarts under its id

The first heartbeat of the new incarnation then replaced the client, which marked all runs as lost, also the one that had just begun. The entry started the task at another worker.

Ruled out: a lost reply to the start request (the run was confirmed), and a late heartbeat of the earlier incarnation (its start time was newer).

Change: a client of the same id and address is kept; it detects the restart by its next renewal, and ends only the runs that the new incarnation does not list. A closed client is replaced once its runs have ended. Failures of the earlier incarnation no longer count in the health of the new one.

Before: test_run_started_before_the_restart_is_noticed_is_kept gave STOPPED after 0.03 s while the run went on; after: DONE.

--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -155,6 +155,10 @@
 
     def update_announcement(self, announcement: Announcement) -> None:
         """Applies a newer announcement of the backend server in use."""
+        previous = self._announcement
+        if previous is not None and previous.born_ms != announcement.born_ms:
+            # Failures of its earlier incarnation do not count against it.
+            self.health.reset()
         self.service = announcement.service
         self._announcement = announcement
         self.allocator.free_memory_and_gpus = Resources(
--- a/gooseberrylink/backends/incarnations.py
+++ b/gooseberrylink/backends/incarnations.py
@@ -72,8 +72,8 @@
         """See AnnouncementReceiver."""
         current = self._current
         if current is None or self._is_newer(announcement, current.announcement):
-            if current is not None and self._is_already_tracked(announcement, current):
-                self._update_current(current, announcement, sequence, is_draining)
+            if current is not None and _is_restart(announcement, current.announcement):
+                self._handle_restart(current, announcement, sequence, is_draining)
             elif not is_draining:
                 self._replace(announcement, sequence)
             return
@@ -104,20 +104,31 @@
         # taken as the newer one.
         return announcement.incarnation != known.incarnation
 
-    def _is_already_tracked(
-        self, announcement: Announcement, current: _CurrentIncarnation
-    ) -> bool:
-        """Returns whether the present client already uses this incarnation.
+    def _handle_restart(
+        self,
+        current: _CurrentIncarnation,
+        announcement: Announcement,
+        sequence: int,
+        is_draining: bool,
+    ) -> None:
+        """Handles a restart of the backend server under the same id and address.
 
-        A client detects by itself that its backend server restarted under the same
-        id, and may have started tasks at the new incarnation.
+        The present client's requests also reach the new incarnation, so its runs may
+        be running there. The client detects the restart by itself and finds out which
+        of them are. Therefore it is kept, and only replaced if it was closed and all
+        of its runs have ended.
         """
-        known = current.announcement
-        return (
-            current.backend.born_ms == announcement.born_ms
-            and known.incarnation == announcement.incarnation
-            and known.address == announcement.address
-        )
+        if not current.backend.is_closed:
+            self._update_current(current, announcement, sequence, is_draining)
+        elif current.backend.has_runs:
+            # The next heartbeat finds the runs ended.
+            log_event(
+                "backend_restart_pending",
+                incarnation=announcement.incarnation,
+                born_ms=announcement.born_ms,
+            )
+        elif not is_draining:
+            self._replace(announcement, sequence)
 
     def _update_current(
         self,
@@ -162,3 +173,11 @@
         if not current.is_draining:
             current.is_draining = True
             self._agent.detach_backend(reason)
+
+
+def _is_restart(announcement: Announcement, known: Announcement) -> bool:
+    """Returns whether two incarnations have the same id and address."""
+    return (announcement.incarnation, announcement.address) == (
+        known.incarnation,
+        known.address,
+    )
--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -296,19 +296,26 @@
         self.is_open = False
 
     def mark_lost(self, reason: str) -> None:
-        """Marks all runs as lost because the backend server was replaced."""
-        self.close()
+        """Closes, and marks all runs as lost because the backend server was replaced.
+
+        A server that restarted under the same id is not replaced: runs whose start
+        was requested before the restart was noticed may be running there.
+        """
+        self._is_closed = True
+        self._set_open(False)
         log_event("backend_lost", reason=reason, runs=len(self._runs))
         for run in list(self._runs.values()):
             self._finish(run, EndKind.LOST)
 
     @property
-    def born_ms(self) -> int:
-        """Start of the incarnation that replied last, Unix time in milliseconds.
+    def is_closed(self) -> bool:
+        """Whether it starts no new runs for good."""
+        return self._is_closed
 
-        0 before the first reply and if unknown.
-        """
-        return self._born_ms
+    @property
+    def has_runs(self) -> bool:
+        """Whether a run has not certainly ended."""
+        return bool(self._runs)
 
     # Tasks.
 
--- /dev/null
+++ b/tests/test_incarnations.py
@@ -0,0 +1,133 @@
+"""A backend server restarts under the id that it had."""
+
+import pytest
+import trio
+
+from gooseberrylink.backends.client import Announcement
+from gooseberrylink.backends.incarnations import IncarnationTracker
+from gooseberrylink.backends.leased import LeasedBackendClient, LeaseSettings
+from gooseberrylink.metrics import Metrics
+from gooseberrylink.peers.messages import Status
+from gooseberrylink.standins.leased_backend import FakeLeasedBackend
+
+
+class FakeAgent:
+    """Runs the background work of the clients that are attached to it."""
+
+    def __init__(self, nursery: trio.Nursery):
+        self.metrics = Metrics("agent", "tank-1")
+        self.backends: list[LeasedBackendClient] = []
+        self._nursery = nursery
+
+    def attach_backend(self, backend, announcement):
+        self.backends.append(backend)
+        self._nursery.start_soon(backend.run_background)
+
+    def detach_backend(self, reason):
+        self.backends[-1].close()
+
+    def update_announcement(self, announcement):
+        pass
+
+
+@pytest.fixture
+def run_tracked(run_on_mock_clock):
+    """Returns a function that runs a test with a backend server and a tracker."""
+
+    def run(test):
+        async def main():
+            async with trio.open_nursery() as nursery:
+                server = FakeLeasedBackend("tank-1", nursery)
+                nursery.start_soon(server.advance_runs)
+                agent = FakeAgent(nursery)
+                tracker = IncarnationTracker(
+                    agent,
+                    lambda _: LeasedBackendClient(
+                        server, 5, LeaseSettings(), agent.metrics, lambda: None
+                    ),
+                )
+                announce(tracker, server)
+                await wait_until_open(agent)
+                await test(server, agent, tracker, nursery)
+                nursery.cancel_scope.cancel()
+
+        run_on_mock_clock(main)
+
+    return run
+
+
+def announce(tracker, server, sequence: int = 1, is_draining: bool = False) -> None:
+    announcement = Announcement(
+        "s", "w:1", 8, incarnation="i-1", born_ms=server.born_ms
+    )
+    tracker.handle_announcement(announcement, sequence, is_draining)
+
+
+async def wait_until_open(agent) -> None:
+    with trio.fail_after(5):
+        while not agent.backends[-1].is_open:
+            await trio.sleep(0.01)
+
+
+async def run_task(agent, run_s: float = 0.5, attempt: int = 1):
+    payload = {"name": "a", "run_s": run_s}
+    return await agent.backends[-1].run("id-a", "job", "shops", payload, attempt)
+
+
+def test_run_started_before_the_restart_is_noticed_is_kept(run_tracked):
+    # Soak seed 40: a run was confirmed by the new incarnation, whose first heartbeat
+    # arrived before the first renewal that showed the restart. The run was given up,
+    # and its task ran at another worker at the same time.
+    async def test(server, agent, tracker, nursery):
+        server.crash()
+
+        async def announce_soon():
+            await trio.sleep(0.03)
+            announce(tracker, server)
+
+        nursery.start_soon(announce_soon)
+        outcome = await run_task(agent)
+        assert outcome.status is Status.DONE
+        assert [run.end_kind.value for run in server.runs] == ["done"]
+
+    run_tracked(test)
+
+
+def test_run_of_the_earlier_incarnation_ends_before_a_closed_client_is_replaced(
+    run_tracked,
+):
+    async def test(server, agent, tracker, nursery):
+        outcomes = []
+
+        async def run():
+            outcomes.append(await run_task(agent, run_s=9.0))
+
+        nursery.start_soon(run)
+        await trio.sleep(0.1)
+        announce(tracker, server, 2, is_draining=True)
+        server.crash()
+        announce(tracker, server)
+        assert len(agent.backends) == 1
+        await trio.sleep(0.5)
+        assert [outcome.status for outcome in outcomes] == [Status.STOPPED]
+        announce(tracker, server, 2)
+        await wait_until_open(agent)
+        assert len(agent.backends) == 2
+
+    run_tracked(test)
+
+
+def test_run_of_the_earlier_incarnation_is_reported_as_lost(run_tracked):
+    async def test(server, agent, tracker, nursery):
+        async def restart():
+            await trio.sleep(0.2)
+            server.crash()
+            announce(tracker, server)
+
+        nursery.start_soon(restart)
+        outcome = await run_task(agent, run_s=9.0)
+        assert (outcome.status, outcome.reason) == (Status.STOPPED, "vanished")
+        again = await run_task(agent, attempt=2)
+        assert again.status is Status.DONE
+
+    run_tracked(test)
