Give a typed error for any bytes at a border instead of ending the process

Cause: decoders raised what their callers did not catch. A malformed address in the entries' table or in a hello (ValueError), a short row in a lease renewal's response (IndexError), a corrupt ConfigUpdate (zlib.error), a malformed conflict of the table service (KeyError) each ended an agent or an entry; a heartbeat with a malformed address left the agent without a client. Dates such as 2026-13-01 and recursive aliases in YAML gave a traceback.

Change: addresses are parsed in one place; rows are typed structs; updates are decompressed up to a limit; steps, amounts and deadlines have bounds and are refused as MALFORMED_JOB or DEADLINE_INVALID with thing, value and what was expected. An unexpected error in one frame closes its link and is logged (frame_failed); frame_malformed names the peer. A seed that is no address is left out. Failed dials and hellos are counted, and the first of a series is logged (entry_unreachable). A status of the table store that does not say "nothing was done" is an unknown outcome. A taken port ends a program with a line and exit code 5.

--- a/gooseberrylink/admission.py
+++ b/gooseberrylink/admission.py
@@ -160,6 +160,10 @@
         return service
 
     def _check_limits(self, request: JobRequest, service: Service) -> None:
+        if not request.tasks:
+            raise RefusedError(
+                Code.MALFORMED_JOB, "the job has 0 tasks, expected 1 or more"
+            )
         limit = self._configuration.declarations.rules.limits.max_tasks_per_job
         if len(request.tasks) > limit:
             detail = (
--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from gooseberrylink.addresses import split_address
 from gooseberrylink.assignment_table import (
     AssignmentRecord,
     AssignmentTable,
@@ -20,6 +21,7 @@
 )
 from gooseberrylink.backends.leased import STALLED
 from gooseberrylink.customer_demand_table import CustomerDemandTable
+from gooseberrylink.exceptions import MalformedAddressError
 from gooseberrylink.logs import log_event
 from gooseberrylink.metrics import Metrics
 from gooseberrylink.operators.configuration import Configuration
@@ -256,10 +258,24 @@
 
     def add_known_entries(self, addresses: list[str]) -> None:
         """Adds addresses of entries, and connects to those chosen by hashing."""
-        if not self._known_entries.issuperset(addresses):
-            self._known_entries.update(addresses)
+        new_addresses = {
+            address
+            for address in addresses
+            if address not in self._known_entries and self._is_well_formed(address)
+        }
+        if new_addresses:
+            self._known_entries.update(new_addresses)
             self._connect_chosen_entries()
 
+    def _is_well_formed(self, address: str) -> bool:
+        try:
+            split_address(address)
+        except MalformedAddressError as error:
+            self.metrics.add("entry_addresses_malformed")
+            log_event("entry_address_malformed", "WARNING", error=error)
+            return False
+        return True
+
     def handle_frame(self, peer: EntryPeer, frame: EntryFrame) -> None:
         """Handles a frame from an entry."""
         now_s = trio.current_time()
--- a/gooseberrylink/agent_daemon.py
+++ b/gooseberrylink/agent_daemon.py
@@ -67,12 +67,8 @@
             self._stop_requested.set()
 
 
-def run_agent(settings: AgentSettings) -> None:
+async def run_agent(settings: AgentSettings) -> None:
     """Runs an agent in this process until a signal stops it."""
-    trio.run(_run_agent, settings)
-
-
-async def _run_agent(settings: AgentSettings) -> None:
     thread = GrpcThread()
     try:
         await run_until_signal(AgentDaemon(settings, GrpcDialer(thread)))
--- a/gooseberrylink/backends/announcement_store.py
+++ b/gooseberrylink/backends/announcement_store.py
@@ -10,9 +10,11 @@
 import msgspec
 import trio
 
+from gooseberrylink.addresses import split_address
 from gooseberrylink.backends.client import Announcement
 from gooseberrylink.backends.incarnations import IncarnationTracker
 from gooseberrylink.backends.leased import LeaseRenewal, RunClient, RunReport
+from gooseberrylink.exceptions import MalformedAddressError
 from gooseberrylink.logs import log_event
 from gooseberrylink.metrics import Metrics
 from gooseberrylink.store import RowStore, StoredRow, StoreErrorKind, put_with_retry
@@ -139,7 +141,9 @@
     if row is None or row.value is None:
         return None
     try:
-        return _decode(row.value)
-    except msgspec.MsgspecError as error:
+        stored = _decode(row.value)
+        split_address(stored.announcement.address)
+        return stored
+    except (msgspec.MsgspecError, MalformedAddressError) as error:
         log_event("store_row_malformed", "WARNING", key=row.key, error=error)
         return None
--- a/gooseberrylink/callers/api.py
+++ b/gooseberrylink/callers/api.py
@@ -2,6 +2,7 @@
 
 import math
 
+import pydantic
 import trio
 from starlette.applications import Starlette
 from starlette.requests import Request
@@ -10,15 +11,22 @@
 
 from gooseberrylink.asgi import BodyTooLargeError, ClientDisconnectedError, read_body
 from gooseberrylink.callers.disconnects import run_until_disconnect
-from gooseberrylink.callers.models import answer_body, parse_job
+from gooseberrylink.callers.models import (
+    ConfigurationModel,
+    answer_body,
+    format_errors,
+    parse_job,
+)
 from gooseberrylink.callers.status_codes import http_status
 from gooseberrylink.codes import Code
 from gooseberrylink.entry import Entry
 from gooseberrylink.exceptions import RefusedError
+from gooseberrylink.logs import log_event
 from gooseberrylink.operators.status import entry_status
 from gooseberrylink.types import Answer
 
 _BODY_LIMIT_BEFORE_CONFIG_BYTES = 1024 * 1024
+_MAX_CONFIGURATION_BYTES = 16 * 1024 * 1024
 _METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
@@ -43,7 +51,7 @@
 
     async def _submit(self, request: Request) -> Response:
         try:
-            body = await self._read_body(request)
+            body = await self._read_body(request, self._max_job_bytes())
             key = request.headers.get("Idempotency-Key", "")
             job = parse_job(body, key, self._entry.configuration)
         except RefusedError as error:
@@ -54,11 +62,13 @@
         answer = await run_until_disconnect(self._entry, job, request.receive)
         return _to_response(answer)
 
-    async def _read_body(self, request: Request) -> bytes:
-        limit = _BODY_LIMIT_BEFORE_CONFIG_BYTES
+    def _max_job_bytes(self) -> int:
         declarations = self._entry.configuration.declarations
-        if declarations is not None:
-            limit = declarations.rules.limits.max_body_bytes
+        if declarations is None:
+            return _BODY_LIMIT_BEFORE_CONFIG_BYTES
+        return declarations.rules.limits.max_body_bytes
+
+    async def _read_body(self, request: Request, limit: int) -> bytes:
         body = b""
         with trio.move_on_after(self._entry.settings.body_timeout_s) as scope:
             try:
@@ -94,8 +104,18 @@
         The operator's command also sends it here, so that it comes into force even
         if the platform fails before any entry has polled it.
         """
-        body = await request.json()
-        self._entry.adopt(int(body["version"]), str(body["text"]), "operator")
+        try:
+            body = await self._read_body(request, _MAX_CONFIGURATION_BYTES)
+            pushed = ConfigurationModel.model_validate_json(body)
+        except RefusedError as error:
+            self._entry.metrics.add("refusals", error.code.name.lower())
+            return _to_response(Answer(error.code, error.detail))
+        except ClientDisconnectedError:
+            return Response(status_code=400)
+        except pydantic.ValidationError as error:
+            log_event("config_push_malformed", "ERROR", errors=error.error_count())
+            return JSONResponse({"detail": format_errors(error)}, 400)
+        self._entry.adopt(pushed.version, pushed.text, "operator")
         return JSONResponse({"version": self._entry.configuration.version})
 
     async def _health(self, request: Request) -> Response:
--- a/gooseberrylink/callers/models.py
+++ b/gooseberrylink/callers/models.py
@@ -46,6 +46,18 @@
     job_id: Annotated[str, Field(max_length=128)] = ""
 
 
+class ConfigurationModel(StrictModel):
+    """A configuration that the platform has accepted, as the operator sends it.
+
+    Attributes:
+        version: Its version in the platform's table.
+        text: The declarations in canonical form.
+    """
+
+    version: Annotated[int, Field(ge=1)]
+    text: str
+
+
 def parse_job(
     body: bytes, idempotency_key: str, configuration: Configuration
 ) -> JobRequest:
@@ -57,8 +69,7 @@
     try:
         model = JobModel.model_validate_json(body)
     except pydantic.ValidationError as error:
-        errors = [_format_error(item) for item in error.errors()[:_MAX_ERRORS]]
-        raise RefusedError(Code.MALFORMED_JOB, "; ".join(errors)) from None
+        raise RefusedError(Code.MALFORMED_JOB, format_errors(error)) from None
     return to_job_request(model, idempotency_key, configuration)
 
 
@@ -104,6 +115,11 @@
     return body
 
 
+def format_errors(error: pydantic.ValidationError) -> str:
+    """Returns the first few errors, each with its field, for a caller."""
+    return "; ".join(_format_error(item) for item in error.errors()[:_MAX_ERRORS])
+
+
 def _format_error(error: dict) -> str:
     where = ".".join(str(part) for part in error["loc"]) or "body"
     return f"{where}: {error['msg']}"
--- a/gooseberrylink/commands/daemons.py
+++ b/gooseberrylink/commands/daemons.py
@@ -7,6 +7,7 @@
 
 from gooseberrylink.agent_daemon import run_agent
 from gooseberrylink.commands.exit_codes import ExitCode
+from gooseberrylink.commands.startup import run_and_report
 from gooseberrylink.entry_daemon import run_entry
 from gooseberrylink.exceptions import ConfigError
 from gooseberrylink.logs import configure_logs
@@ -21,12 +22,12 @@
 
     Attributes:
         settings_model: Model of the settings file.
-        run_daemon: Function that runs the daemon with these settings.
+        main: Async function that runs the daemon with these settings.
     """
 
     options = [_SETTINGS_OPTION]
     settings_model = EntrySettings
-    run_daemon = staticmethod(run_entry)
+    main = staticmethod(run_entry)
 
     def handle(self) -> int:
         """Runs the daemon until it is shut down."""
@@ -41,8 +42,7 @@
                 self.line_error(message)
             return ExitCode.INVALID_FILE
         configure_logs(settings.log_level)
-        self.run_daemon(settings)
-        return ExitCode.OK
+        return run_and_report(self, self.main, settings)
 
 
 class EntryCommand(_DaemonCommand):
@@ -66,4 +66,4 @@
         "announces itself by PUT /v1/backend on the address in `listen`."
     )
     settings_model = AgentSettings
-    run_daemon = staticmethod(run_agent)
+    main = staticmethod(run_agent)
--- a/gooseberrylink/commands/exit_codes.py
+++ b/gooseberrylink/commands/exit_codes.py
@@ -17,6 +17,7 @@
     USAGE = 2
     INVALID_FILE = 3
     UNREACHABLE = 4
+    CANT_LISTEN = 5
     NOT_RUN = 10
     RAN = 11
     MAY_HAVE_RUN = 12
--- a/gooseberrylink/commands/standins.py
+++ b/gooseberrylink/commands/standins.py
@@ -7,6 +7,7 @@
 from cleo.helpers import option
 
 from gooseberrylink.commands.exit_codes import ExitCode
+from gooseberrylink.commands.startup import run_and_report
 from gooseberrylink.http_server import serve_http
 from gooseberrylink.logs import configure_logs, log_event
 from gooseberrylink.standins.backend import BackendApi, FakeBackend
@@ -23,9 +24,10 @@
 
     name = "standin-platform"
     description = "Runs a stand-in for the platform's table service and object store."
+    # cleo formats the help text, so its braces are doubled.
     help = (
         "Keeps all data in memory. PUT /v1/mode with "
-        '{"mode": "up|down|loses-answers|loses-requests", "latency_s": 0} '
+        '{{"mode": "up|down|loses-answers|loses-requests", "latency_s": 0}} '
         "changes its behaviour."
     )
     options = [
@@ -35,8 +37,7 @@
     def handle(self) -> int:
         """Serves until SIGTERM or SIGINT."""
         configure_logs()
-        trio.run(self._serve)
-        return ExitCode.OK
+        return run_and_report(self, self._serve)
 
     async def _serve(self) -> None:
         app = PlatformApi(FakePlatform()).app
@@ -53,7 +54,7 @@
     name = "standin-backend"
     description = "Runs a stand-in for a backend server that announces itself."
     help = (
-        'The payload of a task may be {"run_s": 0.2, "value": ..., "fail": false}. '
+        'The payload of a task may be {{"run_s": 0.2, "value": ..., "fail": false}}. '
         "GET /starts lists the started tasks."
     )
     options = [
@@ -78,8 +79,7 @@
             )
             return ExitCode.USAGE
         configure_logs()
-        trio.run(self._serve)
-        return ExitCode.OK
+        return run_and_report(self, self._serve)
 
     async def _serve(self) -> None:
         backend = FakeBackend("standin", float(self.option("speed")))
--- a/gooseberrylink/entry_daemon.py
+++ b/gooseberrylink/entry_daemon.py
@@ -121,12 +121,8 @@
                 nursery.start_soon(self.entry.serve_link, link)
 
 
-def run_entry(settings: EntrySettings) -> None:
+async def run_entry(settings: EntrySettings) -> None:
     """Runs an entry in this process until a signal stops it."""
-    trio.run(_run_entry, settings)
-
-
-async def _run_entry(settings: EntrySettings) -> None:
     # gRPC is slow to import, and entries with other links do not need it.
     from gooseberrylink.peers.grpc_link import GrpcListener, GrpcThread
 
--- a/gooseberrylink/exceptions.py
+++ b/gooseberrylink/exceptions.py
@@ -11,6 +11,14 @@
     """The link to a peer is closed, or could not be opened."""
 
 
+class MalformedAddressError(GooseberrylinkError, ValueError):
+    """An address is not host:port."""
+
+
+class ListenError(GooseberrylinkError):
+    """An address can't be listened on, for example because it is in use."""
+
+
 class ConfigError(GooseberrylinkError):
     """A settings or declarations file is not valid.
 
@@ -39,3 +47,11 @@
         self.code = code
         self.detail = detail
         self.retry_after_s = retry_after_s
+
+
+def first_leaf(group: BaseExceptionGroup) -> BaseException:
+    """Returns the first exception in a group that is not a group itself."""
+    error: BaseException = group
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -91,6 +91,11 @@
         self._pending_acks: list[str] = []
         self.config_version = 0
 
+    @property
+    def name(self) -> str:
+        """See SessionOwner."""
+        return self.worker
+
     @property
     def is_connected(self) -> bool:
         """Whether a link to the agent is open."""
--- a/gooseberrylink/peers/config_push.py
+++ b/gooseberrylink/peers/config_push.py
@@ -3,6 +3,7 @@
 import random
 import zlib
 
+import msgspec
 import trio
 
 from gooseberrylink.operators.configuration import Configuration
@@ -10,6 +11,7 @@
 from gooseberrylink.peers.outbox import Outbox
 
 _MAX_PUSH_DELAY_S = 2.0
+_MAX_CONFIG_BYTES = 16 * 1024 * 1024
 
 
 class ConfigPush:
@@ -56,5 +58,22 @@
 
 
 def decompress_update(update: ConfigUpdate) -> str:
-    """Returns the text of the configuration that an update carries."""
-    return zlib.decompress(update.packed).decode()
+    """Returns the text of the configuration that an update carries.
+
+    Raises:
+        msgspec.ValidationError: The update can't be decompressed or is too large.
+    """
+    decompressor = zlib.decompressobj()
+    try:
+        data = decompressor.decompress(update.packed, _MAX_CONFIG_BYTES)
+        text = data.decode()
+    except (zlib.error, UnicodeDecodeError) as error:
+        raise msgspec.ValidationError(
+            f"configuration version {update.version} can't be decompressed: {error}"
+        ) from None
+    if not decompressor.eof:
+        raise msgspec.ValidationError(
+            f"configuration version {update.version} is truncated or has more than"
+            f" {_MAX_CONFIG_BYTES} bytes"
+        )
+    return text
--- a/gooseberrylink/peers/entry_peer.py
+++ b/gooseberrylink/peers/entry_peer.py
@@ -56,6 +56,7 @@
         self._session: Session | None = None
         self._units_received = 0
         self._host_sent: Host | None = None
+        self._has_failed = False
 
     @property
     def is_connected(self) -> bool:
@@ -66,22 +67,43 @@
         """Dials the entry, and again whenever the link closes, until cancelled."""
         backoff_s = _RECONNECT_BACKOFF_MIN_S
         while True:
-            try:
-                link = await self._agent.dialer.dial(self.address)
-            except LinkClosedError:
-                link = None
+            link = await self._dial()
             if link is not None and await self._serve(link):
                 backoff_s = _RECONNECT_BACKOFF_MIN_S
             await trio.sleep(backoff_s * self._agent.random.uniform(0.5, 1.0))
             backoff_s = min(2 * backoff_s, _RECONNECT_BACKOFF_MAX_S)
 
+    async def _dial(self) -> Link | None:
+        """Opens a link; returns None if that failed."""
+        try:
+            return await self._agent.dialer.dial(self.address)
+        except LinkClosedError as error:
+            self._record_failure("dial", error)
+            return None
+
+    def _record_failure(self, step: str, error: Exception) -> None:
+        """Counts a failed attempt to connect, and logs the first of a series."""
+        self._agent.metrics.add("links_failed", step)
+        if not self._has_failed:
+            self._has_failed = True
+            log_event(
+                "entry_unreachable",
+                "WARNING",
+                entry=self.name,
+                address=self.address,
+                step=step,
+                error=repr(error),
+            )
+
     async def _serve(self, link: Link) -> bool:
         """Serves one link until it closes; returns whether hellos were exchanged."""
         try:
             hello = await self._exchange_hellos(link)
-        except (LinkClosedError, msgspec.MsgspecError, trio.TooSlowError):
+        except (LinkClosedError, msgspec.MsgspecError, trio.TooSlowError) as error:
             link.close()
+            self._record_failure("hello", error)
             return False
+        self._has_failed = False
         agent = self._agent
         session = Session(link, agent.settings, agent.configuration, agent.random, self)
         self._start_session(session, hello)
--- a/gooseberrylink/peers/session.py
+++ b/gooseberrylink/peers/session.py
@@ -17,7 +17,13 @@
 
 
 class SessionOwner(Protocol):
-    """The peer object that a session belongs to."""
+    """The peer object that a session belongs to.
+
+    Attributes:
+        name: Name of the worker or entry at the other end, for the log.
+    """
+
+    name: str
 
     def is_busy(self) -> bool:
         """Whether tasks are in progress, so that heartbeats are due more often."""
@@ -84,7 +90,16 @@
             except LinkClosedError:
                 return
             except msgspec.MsgspecError as error:
-                log_event("frame_malformed", "ERROR", error=error)
+                log_event(
+                    "frame_malformed", "ERROR", peer=self._owner.name, error=error
+                )
+                return
+            except Exception as error:
+                # The other links of this process must stay open. The peers exchange
+                # the state of their tasks when they have reconnected.
+                log_event(
+                    "frame_failed", "ERROR", peer=self._owner.name, error=repr(error)
+                )
                 return
             self._heartbeat.record_frame()
             self.record_peer_config_version(version)
--- a/gooseberrylink/peers/tcp_link.py
+++ b/gooseberrylink/peers/tcp_link.py
@@ -10,7 +10,12 @@
 
 import trio
 
-from gooseberrylink.exceptions import LinkClosedError
+from gooseberrylink.addresses import split_address
+from gooseberrylink.exceptions import (
+    LinkClosedError,
+    ListenError,
+    MalformedAddressError,
+)
 from gooseberrylink.logs import log_event
 
 _LENGTH = struct.Struct("!I")
@@ -127,15 +132,19 @@
 
     async def dial(self, address: str) -> TcpLink:
         """See Dialer; the address is host:port."""
-        host, _, port = address.rpartition(":")
+        try:
+            host_and_port = split_address(address)
+        except MalformedAddressError as error:
+            raise LinkClosedError(str(error)) from None
         connection = socket.socket()
         connection.setblocking(False)
         try:
             with trio.fail_after(_CONNECT_TIMEOUT_S):
-                await _connect(connection, (host, int(port)))
+                await _connect(connection, host_and_port)
         except BaseException as error:
             connection.close()
-            if isinstance(error, OSError | trio.TooSlowError):
+            # A host name that can't be encoded gives a UnicodeError.
+            if isinstance(error, OSError | trio.TooSlowError | UnicodeError):
                 raise LinkClosedError(
                     f"can't connect to {address}: {error!r}"
                 ) from None
@@ -152,8 +161,11 @@
 
     async def start(self, address: str) -> None:
         """See Listener."""
-        host, _, port = address.rpartition(":")
-        (self._listener,) = await trio.open_tcp_listeners(int(port), host=host)
+        try:
+            host, port = split_address(address)
+            (self._listener,) = await trio.open_tcp_listeners(port, host=host)
+        except (MalformedAddressError, OSError) as error:
+            raise ListenError(f"can't listen on {address}: {error}") from None
         self.address = f"{host}:{self._listener.socket.getsockname()[1]}"
 
     async def accept(self) -> TcpLink:
--- a/gooseberrylink/platform/__main__.py
+++ b/gooseberrylink/platform/__main__.py
@@ -8,6 +8,7 @@
 
 _EXIT_USAGE = 2
 _EXIT_INVALID_FILE = 3
+_EXIT_CANT_LISTEN = 5
 _PROGRAMS = ("entry", "agent")
 
 
@@ -23,7 +24,7 @@
     # Imported after the start time is taken: the imports are most of the startup time,
     # which the agent subtracts from its wait for runs of its earlier incarnation to
     # end.
-    from gooseberrylink.exceptions import ConfigError
+    from gooseberrylink.exceptions import ConfigError, ListenError
     from gooseberrylink.platform.common import run_program
     from gooseberrylink.platform.settings import settings_path
 
@@ -32,6 +33,9 @@
     except ConfigError as error:
         print("\n".join(error.errors), file=sys.stderr)
         return _EXIT_INVALID_FILE
+    except ListenError as error:
+        print(error, file=sys.stderr)
+        return _EXIT_CANT_LISTEN
     return 0
 
 
--- a/gooseberrylink/platform/common.py
+++ b/gooseberrylink/platform/common.py
@@ -4,6 +4,7 @@
 import signal
 from collections.abc import Callable
 
+import pydantic
 import trio
 
 from gooseberrylink.asgi import PlainRequest, PlainResponse, make_plain_app
@@ -11,8 +12,12 @@
 from gooseberrylink.http_server import serve_http
 from gooseberrylink.logs import configure_logs, log_event
 from gooseberrylink.metrics import Metrics
-from gooseberrylink.platform.settings import Settings, read_settings
-from gooseberrylink.shutdown import Daemon, run_until_signal
+from gooseberrylink.platform.settings import (
+    Settings,
+    format_settings_errors,
+    read_settings,
+)
+from gooseberrylink.shutdown import Daemon, run_daemon, run_until_signal
 
 # For requests whose body is ignored, such as the load balancer's readiness probes.
 MAX_IGNORED_BODY_BYTES = 1024
@@ -109,10 +114,11 @@
 
     Raises:
         ConfigError: The settings file is not valid.
+        ListenError: An address in the settings can't be listened on.
     """
     settings = read_settings(path)
     configure_logs()
-    trio.run(_run, make_program, settings, path, started_s)
+    run_daemon(_run, make_program, settings, path, started_s)
 
 
 async def _run(
@@ -121,4 +127,8 @@
     path: pathlib.Path,
     started_s: float,
 ) -> None:
-    await run_until_signal(make_program(settings, path, started_s))
+    try:
+        program = make_program(settings, path, started_s)
+    except pydantic.ValidationError as error:
+        raise ConfigError(format_settings_errors(path, error)) from None
+    await run_until_signal(program)
--- a/gooseberrylink/platform/heartbeats.py
+++ b/gooseberrylink/platform/heartbeats.py
@@ -1,10 +1,14 @@
 """Receives the heartbeats of the backend server on the same host."""
 
+from typing import Annotated
+
 import msgspec
 
+from gooseberrylink.addresses import split_address
 from gooseberrylink.asgi import PlainRequest, PlainResponse, make_plain_app
 from gooseberrylink.backends.client import Announcement
 from gooseberrylink.backends.incarnations import AnnouncementReceiver
+from gooseberrylink.exceptions import MalformedAddressError
 from gooseberrylink.logs import log_event
 from gooseberrylink.metrics import Metrics
 
@@ -16,12 +20,17 @@
 _MAX_BODY_BYTES = 64 * 1024
 
 
+# Larger numbers would not fit into the frames to entries.
+_MAX_AMOUNT = 2**31 - 1
+_Amount = Annotated[int, msgspec.Meta(ge=0, le=_MAX_AMOUNT)]
+
+
 class _Capacity(msgspec.Struct, rename="camel"):
     """The resources of a backend server; `cpu` is in thousandths of a core."""
 
-    cpu: int
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: _Amount
+    mem_mb: _Amount = 0
+    gpu: _Amount = 0
 
 
 class _Heartbeat(msgspec.Struct, rename="camel"):
@@ -83,6 +92,10 @@
                 f"service is {heartbeat.service!r}, state is {heartbeat.state!r};"
                 f" expected service {self._service!r} and state 'ready' or 'draining'",
             )
+        try:
+            split_address(heartbeat.address)
+        except MalformedAddressError as error:
+            return self._reject(instance_id, str(error))
         announcement = Announcement(
             service=heartbeat.service,
             address=heartbeat.address,
--- a/gooseberrylink/platform/job_api.py
+++ b/gooseberrylink/platform/job_api.py
@@ -1,7 +1,7 @@
 """Serves callers' jobs over HTTP in the platform's format."""
 
 import math
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -35,6 +35,7 @@
 _DEFAULT_DEADLINE_MS = 30_000
 _HTTP_STATUS = {
     Code.MALFORMED_JOB: 400,
+    Code.DEADLINE_INVALID: 400,
     Code.BODY_TOO_LARGE: 413,
     Code.UNKNOWN_QUEUE: 404,
     Code.OVER_QUOTA: 429,
@@ -42,6 +43,14 @@
 }
 
 
+# A longer list of tasks is refused before it is built. Declarations allow fewer.
+_MAX_TASKS_PER_STEP = 10_000
+# Larger numbers would not fit into the frames to agents.
+_MAX_AMOUNT = 2**31 - 1
+_MAX_ESTIMATE_MS = 86_400_000
+_Amount = Annotated[int, msgspec.Meta(ge=0, le=_MAX_AMOUNT)]
+
+
 class _Step(msgspec.Struct, rename="camel"):
     """A step of a job: `count` tasks that need the same resources.
 
@@ -50,11 +59,11 @@
     fields that follow it are decoded only to refuse jobs that use them.
     """
 
-    count: int
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: float = 0.0
+    count: Annotated[int, msgspec.Meta(ge=1, le=_MAX_TASKS_PER_STEP)]
+    cpu: _Amount = 0
+    mem_mb: _Amount = 0
+    gpu: _Amount = 0
+    estimate_ms: Annotated[float, msgspec.Meta(ge=0, le=_MAX_ESTIMATE_MS)] = 0.0
     affinity: str = ""
     after: list[int] = []
     gang: bool = False
@@ -107,7 +116,11 @@
     async def _handle(
         self, scope: Scope, receive: Receive
     ) -> tuple[int, bytes, list[tuple[bytes, bytes]]]:
-        headers = {name.decode(): value.decode() for name, value in scope["headers"]}
+        # HTTP header values may be any bytes, which Latin-1 maps to characters.
+        headers = {
+            name.decode("latin-1"): value.decode("latin-1")
+            for name, value in scope["headers"]
+        }
         queue, job_id = self._find_queue(headers.get("host", ""), scope["path"])
         method = scope["method"]
         if method == "POST" and job_id:
@@ -166,9 +179,9 @@
 ) -> JobRequest:
     try:
         job = _decode(body)
-        deadline_ms = float(headers.get("x-deadline-ms", _DEFAULT_DEADLINE_MS))
-    except (msgspec.MsgspecError, ValueError) as error:
+    except msgspec.MsgspecError as error:
         raise RefusedError(Code.MALFORMED_JOB, str(error)) from None
+    deadline_ms = _parse_deadline_ms(headers)
     _refuse_unsupported(job)
     tasks = [
         TaskSpec(
@@ -191,6 +204,22 @@
     )
 
 
+def _parse_deadline_ms(headers: dict[str, str]) -> float:
+    text = headers.get("x-deadline-ms")
+    if text is None:
+        return _DEFAULT_DEADLINE_MS
+    try:
+        deadline_ms = float(text)
+    except ValueError:
+        deadline_ms = math.nan
+    if not (math.isfinite(deadline_ms) and deadline_ms > 0):
+        raise RefusedError(
+            Code.DEADLINE_INVALID,
+            f"X-Deadline-Ms is {text!r:.40}, expected a number of milliseconds above 0",
+        )
+    return deadline_ms
+
+
 def _refuse_unsupported(job: _Job) -> None:
     """Refuses all jobs except best-effort ones with one step and no optional feature.
 
--- a/gooseberrylink/platform/run_client.py
+++ b/gooseberrylink/platform/run_client.py
@@ -13,6 +13,7 @@
     RunReport,
     StartReply,
 )
+from gooseberrylink.logs import log_event
 from gooseberrylink.platform.http_client import HttpClient, Response
 
 # A backend server responds within milliseconds; one that takes longer may still carry
@@ -84,19 +85,34 @@
     reason: str = ""
 
 
+class _RunningRow(msgspec.Struct, array_like=True):
+    """A run in progress. Further elements are ignored."""
+
+    task: str
+    run: int
+    checkpoint: Any
+    percent: float
+
+
+class _EndedRow(msgspec.Struct, array_like=True):
+    """The end of a run; `how` is a key of _END_KIND_BY_NAME."""
+
+    number: int
+    task: str
+    run: int
+    how: str
+
+
 class _HoldResponse(msgspec.Struct, rename="camel"):
     """The runs in progress at the backend server and those that ended.
 
-    Rows of `running` are [task, run, checkpoint, percent, ...], and rows of
-    `ended` are [number, task, run, how, checkpoint]; `how` is a key of
-    _END_KIND_BY_NAME. `born` is the start of this incarnation, as Unix time in
-    milliseconds.
+    `born` is the start of this incarnation, as Unix time in milliseconds.
     """
 
     clock_ms: int
     born: int = 0
-    running: list[list[Any]] = []
-    ended: list[list[Any]] = []
+    running: list[_RunningRow] = []
+    ended: list[_EndedRow] = []
 
 
 _encode = msgspec.json.Encoder().encode
@@ -163,7 +179,8 @@
             return _to_control_reply(response)
         try:
             return _to_run_report(_decode_hold_response(response.body))
-        except (msgspec.MsgspecError, ValueError, TypeError):
+        except msgspec.MsgspecError as error:
+            log_event("renewal_response_malformed", "ERROR", error=error)
             return ControlReply.UNANSWERED
 
     async def _post_request(
@@ -178,12 +195,14 @@
 
 
 def _to_run_report(response: _HoldResponse) -> RunReport:
-    progress = {RunKey(row[0], row[1]): row[3] / 100 for row in response.running}
+    progress = {
+        RunKey(row.task, row.run): row.percent / 100 for row in response.running
+    }
     ends = [
         RunEnd(
-            row[0],
-            RunKey(row[1], row[2]),
-            _END_KIND_BY_NAME.get(row[3], EndKind.STOPPED),
+            row.number,
+            RunKey(row.task, row.run),
+            _END_KIND_BY_NAME.get(row.how, EndKind.STOPPED),
         )
         for row in response.ended
     ]
--- a/gooseberrylink/platform/settings.py
+++ b/gooseberrylink/platform/settings.py
@@ -8,7 +8,9 @@
 from pydantic import ConfigDict, Field
 from pydantic.alias_generators import to_camel
 
-from gooseberrylink.exceptions import ConfigError
+from gooseberrylink.addresses import split_address
+from gooseberrylink.exceptions import ConfigError, MalformedAddressError
+from gooseberrylink.logs import log_event
 
 SETTINGS_PATH_VARIABLE = "GOOSEBERRYLINK_BOOT"
 
@@ -96,8 +98,16 @@
     @property
     def seed_link_addresses(self) -> list[str]:
         """Link addresses of the seed hosts."""
-        hosts = [seed.rpartition(":")[0] for seed in self.seeds]
-        return [f"{host}:{self.link_port}" for host in hosts]
+        addresses = []
+        for seed in self.seeds:
+            try:
+                host, _ = split_address(seed)
+            except MalformedAddressError as error:
+                # The other seeds and the entries' table are enough to find entries.
+                log_event("seed_malformed", "WARNING", error=error)
+                continue
+            addresses.append(f"{host}:{self.link_port}")
+        return addresses
 
 
 def settings_path() -> pathlib.Path:
@@ -126,12 +136,18 @@
     try:
         data = yaml.load(path.read_text(encoding="utf-8"), Loader=_Loader)
         return Settings.model_validate(data)
-    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
-        raise ConfigError([f"{path}: can't be read: {error}"]) from None
     except pydantic.ValidationError as error:
-        raise ConfigError(
-            [_format_error(path, item) for item in error.errors()]
-        ) from None
+        raise ConfigError(format_settings_errors(path, error)) from None
+    except (OSError, yaml.YAMLError, ValueError, RecursionError) as error:
+        # YAML gives a ValueError for a date such as 2026-13-01.
+        raise ConfigError([f"{path}: can't be read: {error}"]) from None
+
+
+def format_settings_errors(
+    path: pathlib.Path, error: pydantic.ValidationError
+) -> list[str]:
+    """Returns one line for each error, naming the file and the field."""
+    return [_format_error(path, item) for item in error.errors()]
 
 
 def _format_error(path: pathlib.Path, error: dict) -> str:
--- a/gooseberrylink/platform/store.py
+++ b/gooseberrylink/platform/store.py
@@ -13,6 +13,8 @@
 # The store usually responds in 4 ms, and 77 times slower when it is degraded.
 _CALL_TIMEOUT_S = 0.8
 _PAGE_ROWS = 500
+# The store specifies for these that nothing was done.
+_STATUSES_WITHOUT_EFFECT = (400, 403, 404, 412, 413, 429, 503, 507)
 
 
 class _Row(msgspec.Struct):
@@ -130,4 +132,7 @@
         return StoreErrorKind.UNKNOWN_OUTCOME
     if response.status == 410:
         return StoreErrorKind.HISTORY_LOST
-    return StoreErrorKind.NO_EFFECT
+    if response.status in _STATUSES_WITHOUT_EFFECT:
+        return StoreErrorKind.NO_EFFECT
+    # Such as 502 or 504 from a proxy: the store may have received the request.
+    return StoreErrorKind.UNKNOWN_OUTCOME
--- a/gooseberrylink/platform/table_service.py
+++ b/gooseberrylink/platform/table_service.py
@@ -7,13 +7,14 @@
 
 import dataclasses
 import urllib.parse
-from typing import Any, Protocol
+from typing import Protocol, TypeVar
 
 import httpcore
 import msgspec
 import trio
 from returns.result import Failure, Result, Success
 
+from gooseberrylink.logs import log_event
 from gooseberrylink.metrics import Metrics
 from gooseberrylink.platform.table_service_types import (
     PlatformError,
@@ -29,6 +30,17 @@
 _MAX_CONNECTIONS = 8
 
 
+_Body = TypeVar("_Body")
+
+
+class _Versions(msgspec.Struct):
+    versions: list[int]
+
+
+class _Conflicts(msgspec.Struct):
+    conflicts: list[int]
+
+
 class TableServiceClient(Protocol):
     """Reads and writes rows of the table service and objects of the object store."""
 
@@ -64,13 +76,18 @@
         """See TableServiceClient."""
         quoted = urllib.parse.quote(key, safe="")
         result = await self._call_with_retry("GET", f"/tables/{table}/{quoted}")
-        return result.map(lambda body: msgspec.convert(_decode_json(body), Row))
+        return result.bind(
+            lambda body: _decode(body, Row, PlatformErrorKind.UNAVAILABLE)
+        )
 
     async def write(self, puts: list[Put]) -> Result[list[int], PlatformError]:
         """See TableServiceClient."""
         body = {"puts": [dataclasses.asdict(put) for put in puts]}
         result = await self._call("POST", "/transactions", msgspec.json.encode(body))
-        return result.map(lambda content: _decode_json(content)["versions"])
+        # Without a readable response it is not known which versions were written.
+        return result.bind(
+            lambda body: _decode(body, _Versions, PlatformErrorKind.UNKNOWN_OUTCOME)
+        ).map(lambda decoded: decoded.versions)
 
     async def read_object(self, name: str) -> Result[bytes, PlatformError]:
         """See TableServiceClient."""
@@ -140,10 +157,7 @@
         if response.status == 404:
             return Failure(PlatformError(PlatformErrorKind.NOT_FOUND))
         if response.status == 409:
-            conflicts = tuple(_decode_json(response.content)["conflicts"])
-            return Failure(
-                PlatformError(PlatformErrorKind.CONFLICT, conflicts=conflicts)
-            )
+            return _to_conflict(response.content)
         # The platform's front end sets this header on a 503 when the request had no
         # effect.
         headers = {name.lower(): value for name, value in response.headers}
@@ -157,5 +171,22 @@
         return Failure(PlatformError(kind, f"status {response.status}"))
 
 
-def _decode_json(body: bytes) -> Any:
-    return msgspec.json.decode(body)
+def _decode(
+    body: bytes, body_type: type[_Body], kind: PlatformErrorKind
+) -> Result[_Body, PlatformError]:
+    """Decodes the body of a response; gives an error of a kind if it is malformed."""
+    try:
+        return Success(msgspec.json.decode(body, type=body_type))
+    except msgspec.MsgspecError as error:
+        log_event("platform_response_malformed", "ERROR", error=error)
+        return Failure(PlatformError(kind, f"malformed response: {error}"))
+
+
+def _to_conflict(body: bytes) -> Failure:
+    # The status alone says that nothing was written.
+    match _decode(body, _Conflicts, PlatformErrorKind.UNAVAILABLE):
+        case Success(decoded):
+            indexes = tuple(decoded.conflicts)
+            return Failure(PlatformError(PlatformErrorKind.CONFLICT, conflicts=indexes))
+        case failure:
+            return failure
--- a/gooseberrylink/settings.py
+++ b/gooseberrylink/settings.py
@@ -1,19 +1,16 @@
 """Defines the settings files of the daemons."""
 
-import re
 from typing import Annotated, Literal, Self
 
 from pydantic import AfterValidator, Field, model_validator
 
+from gooseberrylink.addresses import split_address
 from gooseberrylink.backend_health import QuarantinePolicy
 from gooseberrylink.yaml_file import StrictModel
 
-_ADDRESS = re.compile(r"^[0-9a-zA-Z_.:\[\]-]+:\d{1,5}$")
-
 
 def _validate_address(value: str) -> str:
-    if not _ADDRESS.match(value):
-        raise ValueError("expected host:port")
+    split_address(value)
     return value
 
 
--- a/gooseberrylink/shutdown.py
+++ b/gooseberrylink/shutdown.py
@@ -1,10 +1,12 @@
 """Runs a program until a signal asks it to stop."""
 
 import signal
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 import trio
 
+from gooseberrylink.exceptions import ListenError, first_leaf
 from gooseberrylink.logs import log_event
 
 
@@ -18,6 +20,21 @@
         """Finishes work in progress and stops; if cancelled, stops at once."""
 
 
+def run_daemon(main: Callable[..., Awaitable[None]], *arguments: object) -> None:
+    """Runs an async function with trio until it returns.
+
+    Raises:
+        ListenError: An address can't be listened on, and nothing else failed.
+    """
+    try:
+        trio.run(main, *arguments)
+    except BaseExceptionGroup as group:
+        listen_errors, other_errors = group.split(ListenError)
+        if listen_errors is None or other_errors is not None:
+            raise
+        raise first_leaf(listen_errors) from None
+
+
 async def run_until_signal(daemon: Daemon) -> None:
     """Runs a daemon; SIGTERM or SIGINT drains it, a second one stops it at once."""
     async with trio.open_nursery() as nursery:
--- a/gooseberrylink/yaml_file.py
+++ b/gooseberrylink/yaml_file.py
@@ -49,10 +49,17 @@
     try:
         root = yaml.compose(text, Loader=yaml.SafeLoader)
         data = yaml.safe_load(text)
+        if root is not None:
+            _index_lines_and_find_duplicates(root, (), lines, errors, file_name)
     except yaml.YAMLError as error:
         raise ConfigError([_format_yaml_error(file_name, error)]) from None
-    if root is not None:
-        _index_lines_and_find_duplicates(root, (), lines, errors, file_name)
+    except ValueError as error:
+        # For example a date such as 2026-13-01.
+        raise ConfigError([f"{file_name}:1: not valid YAML: {error}"]) from None
+    except RecursionError:
+        raise ConfigError(
+            [f"{file_name}:1: a value contains itself or is nested too deeply"]
+        ) from None
     try:
         result = model.model_validate(data if data is not None else {})
         for path, message in result.find_errors():
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,9 @@
 """Shared fixtures."""
 
+import os
 import pathlib
 
+import hypothesis
 import pytest
 import trio
 import trio.testing
@@ -18,6 +20,12 @@
 EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
 KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
 SERVICE = "dispatch"
+# Wall-clock limits for single examples would fail on a busy machine. CI runs the same
+# examples each time.
+hypothesis.settings.register_profile(
+    "gooseberrylink", deadline=None, derandomize="CI" in os.environ
+)
+hypothesis.settings.load_profile("gooseberrylink")
 
 
 def pytest_collection_modifyitems(items):
