Rerun tasks of a disconnected agent only after the last disconnect

Cause: each disconnect queued its own time of the end of the leases. The time of the first one passed while the agent, connected again in between, had renewed its leases until the second; its tasks ran at two workers at once. Ruled out: the agent's own lease (it stopped the runs 0.8 s after its last frame, as set). Change: one time an agent, that of the last disconnect, dropped when it is connected again.

--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -1,7 +1,5 @@
 """Queues the jobs of an entry, assigns their tasks to agents, and answers them."""
 
-import collections
-import dataclasses
 import itertools
 import math
 import random
@@ -41,21 +39,6 @@
 _QUEUE_STALLED_S = 1.0
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class _DisconnectedAgent:
-    """An agent whose link closed while it had tasks of this entry.
-
-    Attributes:
-        incarnation: The agent's incarnation when the link closed.
-        leases_end_s: Time from which none of these tasks can be running, because
-            all leases have expired.
-    """
-
-    peer: AgentPeer
-    incarnation: str
-    leases_end_s: float
-
-
 class Dispatcher:
     """Runs the jobs of one entry.
 
@@ -93,9 +76,9 @@
         self._admission = Admission(
             configuration, self.quotas, self.run_times, self._policy.is_deadline_aware
         )
-        self._disconnected_agents: collections.deque[_DisconnectedAgent] = (
-            collections.deque()
-        )
+        # For each agent whose link closed while it had tasks of this entry: the time
+        # from which none of them can be running, because all leases have expired.
+        self._leases_end_s: dict[AgentPeer, float] = {}
         self._nursery: trio.Nursery | None = None
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -319,26 +302,27 @@
         return self._rerun(task, reason)
 
     def handle_agent_disconnected(self, peer: AgentPeer) -> None:
-        """Records when the leases of a disconnected agent's tasks will expire."""
+        """Records when the leases of a disconnected agent's tasks will expire.
+
+        The last disconnection counts: until then the agent had a lease.
+        """
         if peer.tasks_in_flight:
-            leases_end_s = trio.current_time() + self.settings.rerun_after_silence_s
-            self._disconnected_agents.append(
-                _DisconnectedAgent(peer, peer.incarnation, leases_end_s)
+            self._leases_end_s[peer] = (
+                trio.current_time() + self.settings.rerun_after_silence_s
             )
 
     def _reclaim_tasks_with_expired_leases(self) -> None:
         """Reruns tasks of disconnected agents whose leases have expired."""
         now_s = trio.current_time()
-        while (
-            self._disconnected_agents
-            and self._disconnected_agents[0].leases_end_s <= now_s
-        ):
-            disconnected = self._disconnected_agents.popleft()
-            peer = disconnected.peer
-            if not peer.is_connected and peer.incarnation == disconnected.incarnation:
-                for task in list(peer.tasks_in_flight.values()):
-                    if task.job.request.rerun_policy is not None:
-                        self._reclaim_task(peer, task, "leases_over")
+        for peer, leases_end_s in list(self._leases_end_s.items()):
+            if leases_end_s > now_s and not peer.is_connected:
+                continue
+            del self._leases_end_s[peer]
+            if peer.is_connected:
+                continue
+            for task in list(peer.tasks_in_flight.values()):
+                if task.job.request.rerun_policy is not None:
+                    self._reclaim_task(peer, task, "leases_over")
 
     def _rerun(self, task: Task, reason: str) -> bool:
         """Queues a task again whose last run has certainly ended.
--- a/tests/test_reruns.py
+++ b/tests/test_reruns.py
@@ -416,3 +416,30 @@
         assert later.code is Code.NO_BACKEND_SERVER
 
     run_on_deployment(test)
+
+
+def test_second_disconnect_within_the_lease_time_does_not_rerun_tasks_early(
+    run_deployment_with_leases,
+):
+    # The time of the first disconnect was taken for the end of the leases, although
+    # the agent had renewed them until the second one.
+    async def test(deployment, workers):
+        (entry,) = deployment.entries
+        network = deployment.network
+
+        async def disconnect_twice():
+            await trio.sleep(0.3)
+            for connection in network.find_open_connections("tank-1"):
+                connection.entry_end.close()
+            await trio.sleep(ENTRY_SETTINGS["rerun_after_silence_s"] - 0.2)
+            network.partition("tank-1")
+            for connection in network.find_open_connections("tank-1"):
+                connection.entry_end.close()
+
+        deployment.start_soon(disconnect_twice)
+        answer = await entry.submit(make_job("a", *[4.0] * 8))
+        assert answer.code is Code.OK
+        assert max(run.key.attempt for w in workers for run in w.runs) > 1
+        assert find_tasks_with_overlapping_runs(workers) == []
+
+    run_deployment_with_leases(test, entries=1, workers=2)
