Refuse for good at a full assignment table without adding tombstones

Cause: an assignment that a full table refused left a tombstone, so that the table grew past max_records with each refusal and each revocation. Change: while the table is full, it keeps one time instead; all assignments that were sent until then are refused, also after records were purged. The entry's estimate of the sending time is never late, so no copy of a refused or revoked assignment can be accepted.

--- a/gooseberrylink/assignment_table.py
+++ b/gooseberrylink/assignment_table.py
@@ -80,6 +80,9 @@
         self._max_records = max_records
         self._records: dict[str, AssignmentRecord] = {}
         self._lease_ends_s: dict[str, float] = {}
+        # While the table is full, no tombstones are added. Instead all assignments
+        # that were sent until this time are refused.
+        self._refuse_sent_until_s = float("-inf")
 
     def __len__(self) -> int:
         return len(self._records)
@@ -108,13 +111,13 @@
 
         Returns:
             A new record in state HELD, or the reason for a refusal. A refused
-            assignment has a tombstone, unless it is a duplicate.
+            assignment is never accepted later.
         """
         existing = self._records.get(assign.assignment_id)
         if existing is not None:
             return "revoked" if existing.state is RecordState.TOMBSTONE else "duplicate"
         start_deadline_s = sent_s + assign.remaining_s
-        if len(self._records) >= self._max_records:
+        if sent_s <= self._refuse_sent_until_s or self._is_full():
             self._add_tombstone(assign.assignment_id, now_s)
             return "records_full"
         if now_s > sent_s + self.lease_s:
@@ -237,7 +240,13 @@
         for entry_incarnation in lapsed:
             del self._lease_ends_s[entry_incarnation]
 
+    def _is_full(self) -> bool:
+        return len(self._records) >= self._max_records
+
     def _add_tombstone(self, assignment_id: str, now_s: float) -> None:
+        if self._is_full():
+            self._refuse_sent_until_s = now_s
+            return
         record = AssignmentRecord(assignment_id, RecordState.TOMBSTONE)
         record.purge_after_s = now_s + self._tombstone_s
         record.result = Result(assignment_id, Status.NOT_STARTED, reason="revoked")
--- a/tests/test_assignment_table.py
+++ b/tests/test_assignment_table.py
@@ -196,3 +196,23 @@
         assert entry.dispatcher.pool("dispatch").in_flight_count == 0
 
     run_on_deployment(test)
+
+
+def test_full_table_refuses_for_good_without_growing():
+    table = AssignmentTable(lease_s=2.0, retention_s=600.0, max_records=3)
+    for number in range(3):
+        assert not isinstance(admit(table, make_assign(f"t.{number}"), 1.0), str)
+    for number in range(3, 50):
+        assert admit(table, make_assign(f"t.{number}"), 1.1) == "records_full"
+        assert table.revoke(f"u.{number}", 1.2).status is Status.NOT_STARTED
+    assert len(table) == 3
+    for number in range(3):
+        record = table._records[f"t.{number}"]
+        table.replace_with_tombstone(record, "revoked", 1.3)
+    table.purge_expired(60.0)
+    assert len(table) == 0
+    # Copies of what was refused or revoked may still arrive; newer ones are accepted.
+    table.renew_lease("entry", 1.9)
+    late = table.admit(make_assign("u.7"), "entry", 1.15, 1.9)
+    assert late == "records_full"
+    assert not isinstance(admit(table, make_assign("v.1"), 60.0), str)
