Count a task that is queued again once in its queue

Cause: an entry of the heap was valid if its task was queued. A task that an agent refused was pushed again while its former entry was still in the heap, so both counted: the estimate of the wait was too long, and one task was returned twice by peek_many. Change: each push has a number, and the last one is valid. Before: 4 s of work before the end of the queue for two tasks of 1 s; after: 2 s.

--- a/gooseberrylink/task_queue.py
+++ b/gooseberrylink/task_queue.py
@@ -6,12 +6,15 @@
 
 from gooseberrylink.types import Task, TaskState
 
+# An entry of a heap: sort key, number of the entry, task.
+_Node = tuple[tuple[int, float], int, Task]
+
 
 class TaskQueue:
     """Two heaps of waiting tasks, short and long ones, ordered by their sort keys.
 
-    Tasks that left the queue stay in their heap until they reach its top; their
-    state is not QUEUED any more.
+    Tasks that left the queue stay in their heap until they reach its top. A task that
+    was added again has several entries in its heap, of which the last is valid.
 
     Attributes:
         short_count: Number of waiting short tasks.
@@ -22,9 +25,11 @@
     """
 
     def __init__(self):
-        self._short: list[tuple[tuple[int, float], int, Task]] = []
-        self._long: list[tuple[tuple[int, float], int, Task]] = []
+        self._short: list[_Node] = []
+        self._long: list[_Node] = []
         self._sequence = itertools.count()
+        # Number of the valid entry of each waiting task.
+        self._valid_numbers: dict[Task, int] = {}
         self.short_count = 0
         self.long_count = 0
         self.work_s = 0.0
@@ -36,7 +41,9 @@
     def push(self, task: Task) -> None:
         """Adds a task, which must be in state QUEUED."""
         heap = self._long if task.is_long else self._short
-        heapq.heappush(heap, (task.sort_key, next(self._sequence), task))
+        number = next(self._sequence)
+        self._valid_numbers[task] = number
+        heapq.heappush(heap, (task.sort_key, number, task))
         if task.is_long:
             self.long_count += 1
         else:
@@ -47,7 +54,7 @@
     def peek(self, is_long: bool) -> Task | None:
         """Returns the first short or long task without removing it, or None."""
         heap = self._long if is_long else self._short
-        while heap and heap[0][2].state is not TaskState.QUEUED:
+        while heap and not self._is_valid(heap[0]):
             heapq.heappop(heap)
         return heap[0][2] if heap else None
 
@@ -57,7 +64,7 @@
             return []
         heap = self._long if is_long else self._short
         nodes = heapq.nsmallest(count, heap)
-        return [task for _, _, task in nodes if task.state is TaskState.QUEUED]
+        return [node[2] for node in nodes if self._is_valid(node)]
 
     def take(self, task: Task) -> None:
         """Removes a queued task for assignment and sets its state to ASSIGNED."""
@@ -84,13 +91,19 @@
         It is the time on a typical worker, in seconds (slowdown 1).
         """
         return sum(
-            task.expected_s
+            node[2].expected_s
             for heap in (self._short, self._long)
-            for key, _, task in heap
-            if key < sort_key and task.state is TaskState.QUEUED
+            for node in heap
+            if node[0] < sort_key and self._is_valid(node)
         )
 
+    def _is_valid(self, node: _Node) -> bool:
+        """Returns whether a heap entry is that of a waiting task."""
+        _, number, task = node
+        return self._valid_numbers.get(task) == number
+
     def _subtract_from_totals(self, task: Task) -> None:
+        del self._valid_numbers[task]
         if task.is_long:
             self.long_count -= 1
         else:
