Drain an entry until the answers of expired jobs are recorded

Cause: the dispatcher removes an expired job before its tasks are revoked and its outcome is recorded. A drain that looked in that moment, up to 0.25 s, found nothing to wait for and ended; a resubmission could not get the answer. Change: the entry counts the jobs between admission and answer itself. Before: drain() returned with no answer given; after: with the answer 303.

--- a/gooseberrylink/entry.py
+++ b/gooseberrylink/entry.py
@@ -71,6 +71,7 @@
         self._known_entries: set[str] = set(settings.entries)
         self._jobs_by_caller_job_id: dict[tuple[str, str], Job] = {}
         self._is_configuration_confirmed = False
+        self._unanswered_job_count = 0
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Runs the background work until cancelled."""
@@ -171,9 +172,11 @@
         )
         if request.job_id:
             self._jobs_by_caller_job_id[job_key] = job
+        self._unanswered_job_count += 1
         try:
             answer = await self._run_with_claim_if_needed(job)
         finally:
+            self._unanswered_job_count -= 1
             self.dispatcher.discard(job)
             self._jobs_by_caller_job_id.pop(job_key, None)
         _log_answer("job_answered", request, job.job_id, answer, job.submitted_s)
@@ -294,7 +297,8 @@
         with trio.move_on_after(self.settings.drain_s) as scope:
             await self._wait_until_idle()
             self.dispatcher.is_draining = True
-            while self.dispatcher.jobs or self.claims.unrecorded_outcome_count:
+            # The dispatcher forgets an expired job before its outcome is recorded.
+            while self._unanswered_job_count or self.claims.unrecorded_outcome_count:
                 await trio.sleep(_DRAIN_POLL_S)
         return not scope.cancelled_caught
 
