Keep an announcement whose renewal waits in the socket of a resumed agent

Ruled out: a lost renewal (the socket had it). The test of draining with an expired job is in the same file.

--- a/gooseberrylink/backends/announcement_api.py
+++ b/gooseberrylink/backends/announcement_api.py
@@ -13,6 +13,7 @@
 
 from gooseberrylink.agent import Agent
 from gooseberrylink.backends.client import Announcement, BackendClient
+from gooseberrylink.logs import log_event
 from gooseberrylink.settings import Address, Name
 from gooseberrylink.yaml_file import StrictModel
 
@@ -57,10 +58,16 @@
     async def run(self) -> None:
         """Detaches a backend server that stops announcing itself."""
         valid_s = self._agent.settings.announcement_valid_s
+        interval_s = valid_s / _CHECKS_PER_VALIDITY_PERIOD
         while True:
-            await trio.sleep(valid_s / _CHECKS_PER_VALIDITY_PERIOD)
-            has_lapsed = trio.current_time() - self._renewed_s > valid_s
-            if self._current is not None and has_lapsed:
+            check_s = trio.current_time() + interval_s
+            await trio.sleep_until(check_s)
+            now_s = trio.current_time()
+            if now_s - check_s > interval_s:
+                # The process was suspended. A renewal may be waiting in the socket.
+                log_event("announcement_check_delayed", delay_s=now_s - check_s)
+                continue
+            if self._current is not None and now_s - self._renewed_s > valid_s:
                 self._current = None
                 self._agent.detach_backend("announcement_lapsed")
 
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -131,3 +131,54 @@
         assert (await entry.submit(make_job(0.1))).code is Code.OK
 
     run_on_deployment(test)
+
+
+def test_suspended_agent_keeps_a_backend_server_whose_renewal_waits(run_on_deployment):
+    # KNOWN-RED until 2026-12-04, test_processes: an agent that resumed detached its
+    # backend server, although a renewal was waiting in its socket.
+    async def test(deployment):
+        await deployment.add_entry("entry-1")
+        agent = await deployment.add_agent("tank-1")
+        agent.detach_backend("test")
+        announcement_api = AnnouncementApi(agent, lambda _: FakeBackend("tank-1"))
+        deployment.start_soon(announcement_api.run)
+        announcement = Announcement("dispatch", "fake:1", 8)
+        announcement_api.accept_announcement(announcement)
+        await trio.sleep(0.1)
+        trio.lowlevel.current_clock().jump(3 * agent.settings.announcement_valid_s)
+        await trio.sleep(0.01)
+        assert agent.allocator.slots == 8
+        announcement_api.accept_announcement(announcement)
+        await trio.sleep(0.9 * agent.settings.announcement_valid_s)
+        assert agent.allocator.slots == 8
+        await trio.sleep(agent.settings.announcement_valid_s)
+        assert agent.allocator.slots == 0
+
+    run_on_deployment(test)
+
+
+def test_drain_waits_for_the_outcome_of_an_expired_job(run_on_deployment, make_job):
+    async def test(deployment):
+        entry = await deployment.add_entry("entry-1")
+        await deployment.add_agent("tank-1")
+        await deployment.wait_connected()
+        answers = []
+
+        async def submit():
+            job = make_job(
+                0.1, deadline_s=0.5, repeatable=False, idempotency_key="booking-1"
+            )
+            job.tasks[0].payload["run_s"] = 5.0
+            answers.append(await entry.submit(job))
+
+        deployment.start_soon(submit)
+        await trio.sleep(0.4)
+        # The agent does not answer the revocation that follows the deadline.
+        deployment.network.partition("tank-1")
+        await trio.sleep(0.2)
+        assert entry.dispatcher.jobs == {}
+        assert await entry.drain()
+        assert [answer.code for answer in answers] == [Code.EXPIRED_MAY_HAVE_RUN]
+        assert entry.claims.unrecorded_outcome_count == 0
+
+    run_on_deployment(test)
