--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -103,6 +103,8 @@
         """Serves entries until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
+            if self._backend is not None:
+                nursery.start_soon(self._backend.run_background)
             nursery.start_soon(self._dial_after_earlier_runs)
             nursery.start_soon(self._run_maintenance)
             task_status.started()
@@ -147,7 +149,7 @@
     ) -> None:
         """Uses a backend server that announced itself, for all new tasks."""
         self._backend = backend
-        if backend.can_stop:
+        if self._nursery is not None:
             self._nursery.start_soon(backend.run_background)
         self.health.reset()
         self.update_announcement(announcement)
@@ -452,7 +454,9 @@
         self.metrics.add("tasks_ended", outcome.status.name.lower())
         if outcome.status is Status.DONE:
             self.health.record_success(record.started_s)
-        elif outcome.status is not Status.STOPPED or outcome.reason == STALLED:
+        elif outcome.is_evidence and (
+            outcome.status is not Status.STOPPED or outcome.reason == STALLED
+        ):
             self._record_failure(assign, now_s)
         self._update_task_limit()
 
--- a/gooseberrylink/backends/client.py
+++ b/gooseberrylink/backends/client.py
@@ -14,6 +14,8 @@
         status: DONE, FAILED, STOPPED, NOT_STARTED or MAY_HAVE_RUN.
         value: Result of the task if DONE; otherwise None or an error text.
         reason: Short snake_case reason unless DONE.
+        is_evidence: Whether a status other than DONE is evidence of a fault of the
+            backend server. A refusal because it is full is not.
         run_s: Run time in seconds: from the first byte of the request until the
             response, or from the start request until the run was reported as ended.
     """
@@ -22,6 +24,7 @@
     value: Any = None
     reason: str = ""
     run_s: float = 0.0
+    is_evidence: bool = True
 
 
 @dataclasses.dataclass(slots=True)
--- a/gooseberrylink/backends/http_client.py
+++ b/gooseberrylink/backends/http_client.py
@@ -7,6 +7,7 @@
 import msgspec
 import trio
 
+from gooseberrylink.addresses import split_address
 from gooseberrylink.backends.client import Announcement, BackendOutcome
 from gooseberrylink.peers.messages import Status
 
@@ -27,11 +28,13 @@
     is_open = True
 
     def __init__(self, announcement: Announcement, run_timeout_s: float):
-        host, _, port = announcement.address.rpartition(":")
-        self._origin = httpcore.Origin(b"http", host.encode(), int(port))
+        host, port = split_address(announcement.address)
+        self._origin = httpcore.Origin(b"http", host.encode(), port)
         self._url = f"http://{announcement.address}/tasks"
         self._run_timeout_s = run_timeout_s
         self._idle_connections: list[httpcore.AsyncHTTPConnection] = []
+        self._running_task_count = 0
+        self._closed = trio.Event()
 
     async def run(
         self, task_id: str, job_id: str, customer: str, payload: Any, attempt: int = 1
@@ -45,6 +48,15 @@
                 "payload": payload,
             }
         )
+        self._running_task_count += 1
+        try:
+            return await self._run(body)
+        finally:
+            self._running_task_count -= 1
+            if self._closed.is_set():
+                await self._close_idle_connections()
+
+    async def _run(self, body: bytes) -> BackendOutcome:
         first_byte_sent_s: list[float] = []
 
         async def trace(event: str, info: dict) -> None:
@@ -64,10 +76,13 @@
         return outcome
 
     async def run_background(self) -> None:
-        """See BackendClient; there is no background work."""
+        """See BackendClient; closes the idle connections once closed."""
+        await self._closed.wait()
+        await self._close_idle_connections()
 
     def close(self) -> None:
         """See BackendClient."""
+        self._closed.set()
 
     def stop(self, task_id: str) -> None:
         """See BackendClient; these backend servers can't stop a task."""
@@ -75,8 +90,7 @@
     def progress_per_s(self, task_id: str) -> float | None:
         """See BackendClient; these backend servers report no progress."""
 
-    async def aclose(self) -> None:
-        """Closes all idle connections."""
+    async def _close_idle_connections(self) -> None:
         while self._idle_connections:
             await self._idle_connections.pop().aclose()
 
--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -324,11 +324,11 @@
     ) -> BackendOutcome:
         """See BackendClient."""
         if not self.is_open:
-            return BackendOutcome(Status.NOT_STARTED, reason="backend_not_open")
+            return _refusal("backend_not_open")
         now_s = trio.current_time()
         run = _Run(self._client.make_run_key(payload, attempt), task_id, now_s)
         if run.key in self._runs:
-            return BackendOutcome(Status.NOT_STARTED, reason="run_in_progress")
+            return _refusal("run_in_progress")
         self._runs[run.key] = run
         try:
             return await self._run(run, payload)
@@ -361,7 +361,8 @@
         elif reply is StartReply.UNANSWERED:
             self._stop_soon(run)
         elif run.started_s is None:
-            return BackendOutcome(Status.NOT_STARTED, reason=reply.value)
+            is_evidence = reply is StartReply.UNHEALTHY
+            return _refusal(reply.value, is_evidence)
         await run.ended.wait()
         return self._outcome(run)
 
@@ -607,3 +608,7 @@
         # earlier start requests.
         self._fencing_token += _FENCING_TOKEN_INCREMENT_MS
         log_event("fencing_token_raised", "WARNING", fencing_token=self._fencing_token)
+
+
+def _refusal(reason: str, is_evidence: bool = False) -> BackendOutcome:
+    return BackendOutcome(Status.NOT_STARTED, reason=reason, is_evidence=is_evidence)
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -3,7 +3,11 @@
 import pytest
 import trio
 
-from gooseberrylink.backends.leased import LeasedBackendClient, LeaseSettings
+from gooseberrylink.backends.leased import (
+    LeasedBackendClient,
+    LeaseSettings,
+    StartReply,
+)
 from gooseberrylink.metrics import Metrics
 from gooseberrylink.peers.messages import Status
 from gooseberrylink.standins.leased_backend import (
@@ -268,3 +272,33 @@
         assert (outcome.status, outcome.reason) == (Status.NOT_STARTED, "superseded")
 
     run_leased(test)
+
+
+def test_agent_is_told_that_a_lost_backend_server_is_closed(run_leased):
+    async def test(backend_server, client, nursery):
+        await wait_until_open(client)
+        openness = []
+        client._on_availability_change = lambda: openness.append(client.is_open)
+        client.mark_lost("other_incarnation")
+        assert openness == [False]
+
+    run_leased(test)
+
+
+@pytest.mark.parametrize("reply", [r for r in StartReply if r.value != "started"])
+def test_refusal_that_shows_no_fault_is_no_evidence_against_a_backend_server(
+    run_leased, reply
+):
+    # Refusals such as "full" counted towards a quarantine.
+    async def test(backend_server, client, nursery):
+        await wait_until_open(client)
+
+        async def refuse(*_):
+            return reply
+
+        backend_server.start = refuse
+        outcome = await run_task(client)
+        shows_fault = ("unhealthy", "malformed", "unanswered")
+        assert outcome.is_evidence == (reply.value in shows_fault)
+
+    run_leased(test)
