--- a/gooseberrylink/peers/grpc_link.py
+++ b/gooseberrylink/peers/grpc_link.py
@@ -16,7 +16,7 @@
 import trio
 from grpc import aio
 
-from gooseberrylink.exceptions import LinkClosedError
+from gooseberrylink.exceptions import LinkClosedError, ListenError
 
 _SERVICE = "gooseberrylink.Peers"
 _METHOD = "Connect"
@@ -230,7 +230,10 @@
         self._server.add_generic_rpc_handlers(
             (grpc.method_handlers_generic_handler(_SERVICE, {_METHOD: handler}),)
         )
-        port = self._server.add_insecure_port(address)
+        try:
+            port = self._server.add_insecure_port(address)
+        except RuntimeError as error:
+            raise ListenError(f"can't listen on {address}: {error}") from None
         await self._server.start()
         return port
 
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -147,3 +147,18 @@
         assert response.startswith(b"HTTP/1.1 408")
 
     run_api(test)
+
+
+def test_pushed_configuration_is_checked_and_bounded(run_api):
+    async def test(deployment, client):
+        path = "/v1/configuration"
+        for body in (b"\xff", b"[]", b"{}", b'{"version": 0, "text": ""}'):
+            status, data = await client.call("POST", path, body)
+            assert (status, "detail" in json.loads(data)) == (400, True)
+        status, data = await client.call("POST", path, b" " * (17 * 1024 * 1024))
+        assert (status, json.loads(data)["code"]) == (413, int(Code.BODY_TOO_LARGE))
+        # Not a valid configuration: the version in force is kept.
+        status, data = await client.call("POST", path, {"version": 9, "text": "{"})
+        assert (status, json.loads(data)) == (200, {"version": 1})
+
+    run_api(test)
