Raise a fencing token past a clock that stepped back by 40 minutes

Cause: tokens are Unix times, and the deployments' clocks jump ahead by 2400 s and back. An agent that restarted after the step back was refused, and raised its token by one minute a refusal, 30 ms each: it took no tasks for 1.21 s. Its request to restore the announcement was refused once and not repeated. Ruled out: an order by the time of day elsewhere (time.time is used in logs and in this token only). Change: the increment doubles; the restore repeats a fenced request.

--- a/gooseberrylink/backends/announcement_store.py
+++ b/gooseberrylink/backends/announcement_store.py
@@ -13,7 +13,13 @@
 from gooseberrylink.addresses import split_address
 from gooseberrylink.backends.client import Announcement
 from gooseberrylink.backends.incarnations import IncarnationTracker
-from gooseberrylink.backends.leased import LeaseRenewal, RunClient, RunReport
+from gooseberrylink.backends.leased import (
+    ControlReply,
+    FencingToken,
+    LeaseRenewal,
+    RunClient,
+    RunReport,
+)
 from gooseberrylink.exceptions import MalformedAddressError
 from gooseberrylink.logs import log_event
 from gooseberrylink.metrics import Metrics
@@ -22,6 +28,8 @@
 _TABLE = "gooseberrylink-backends"
 # Lower than the sequence number of any heartbeat.
 _RESTORED_SEQUENCE = -1
+# Enough for a clock that was set back by several hours.
+_MAX_FENCED_REQUESTS = 10
 
 
 class _StoredAnnouncement(msgspec.Struct):
@@ -109,9 +117,7 @@
         if stored.is_leaving:
             return "leaving"
         announcement = stored.announcement
-        report = await make_run_client(announcement).renew(
-            LeaseRenewal(fencing_token, 0, None, 0.0)
-        )
+        report = await _request_report(make_run_client(announcement), fencing_token)
         if not isinstance(report, RunReport):
             return report.value
         if report.born_ms != announcement.born_ms:
@@ -137,6 +143,19 @@
             self._changed.set()
 
 
+async def _request_report(
+    client: RunClient, fencing_token: int
+) -> RunReport | ControlReply:
+    """Requests the state of the runs, again with a higher token if it was fenced."""
+    token = FencingToken(fencing_token)
+    for _ in range(_MAX_FENCED_REQUESTS):
+        report = await client.renew(LeaseRenewal(token.value, 0, None, 0.0))
+        if report is not ControlReply.FENCED:
+            break
+        token.increase()
+    return report
+
+
 def _decode_row(row: StoredRow | None) -> _StoredAnnouncement | None:
     if row is None or row.value is None:
         return None
--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -31,8 +31,8 @@
 MAX_CLOCK_DRIFT = 0.02
 # Less than the longest lease that the platform grants, which is 1 s.
 LEASE_S = 0.9
-# Fencing tokens are Unix times in milliseconds. The increment exceeds any amount by
-# which the clock is set back.
+# Fencing tokens are Unix times in milliseconds. The increment doubles each time, so
+# that a few suffice after the clock was set back by an hour.
 _FENCING_TOKEN_INCREMENT_MS = 60_000
 # Reason of a stop because of missing progress. It counts as a failure of the
 # backend server.
@@ -92,6 +92,29 @@
     LOST = "vanished"
 
 
+@dataclasses.dataclass(slots=True)
+class FencingToken:
+    """The fencing token of one incarnation of an agent.
+
+    Attributes:
+        value: Sent with each request; a backend server refuses a lower one than it
+            has seen.
+    """
+
+    value: int
+    _increment_ms: int = _FENCING_TOKEN_INCREMENT_MS
+
+    def increase(self) -> None:
+        """Increases the value, each time by twice as much as before.
+
+        An earlier incarnation of the agent had a higher token if the clock was set
+        back in between.
+        """
+        self.value += self._increment_ms
+        self._increment_ms *= 2
+        log_event("fencing_token_raised", "WARNING", fencing_token=self.value)
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class RunKey:
     """Identifies one run of a task at a backend server.
@@ -266,7 +289,7 @@
     ):
         self.is_open = False
         self._client = client
-        self._fencing_token = fencing_token
+        self._fencing_token = FencingToken(fencing_token)
         self._settings = settings
         self._metrics = metrics
         self._on_availability_change = on_availability_change
@@ -371,11 +394,14 @@
         for _ in range(2):
             self._record_lease_end()
             reply = await self._client.start(
-                run.key, payload, self._next_lease_end_ms(), self._fencing_token
+                run.key,
+                payload,
+                self._next_lease_end_ms(),
+                self._fencing_token.value,
             )
             if reply is not StartReply.FENCED:
                 return reply
-            self._raise_fencing_token()
+            self._fencing_token.increase()
         return reply
 
     def _outcome(self, run: _Run) -> BackendOutcome:
@@ -410,11 +436,11 @@
 
     async def _stop(self, run: _Run) -> None:
         while run.end is None and run.stop_effective_s is None:
-            reply = await self._client.stop(run.key, self._fencing_token)
+            reply = await self._client.stop(run.key, self._fencing_token.value)
             if reply is ControlReply.DONE:
                 run.stop_effective_s = trio.current_time() + self._settings.max_stop_s
             elif reply is ControlReply.FENCED:
-                self._raise_fencing_token()
+                self._fencing_token.increase()
             elif reply is ControlReply.OTHER_INCARNATION:
                 self.mark_lost("other_incarnation")
             else:
@@ -439,7 +465,7 @@
         else:
             wait_s = 0.0
         renewal = LeaseRenewal(
-            self._fencing_token, self._last_end_number, lease_end_ms, wait_s
+            self._fencing_token.value, self._last_end_number, lease_end_ms, wait_s
         )
         report = await self._client.renew(renewal)
         if isinstance(report, RunReport):
@@ -450,7 +476,7 @@
         self._is_responsive = False
         self._metrics.add("renewals_failed", report.value)
         if report is ControlReply.FENCED:
-            self._raise_fencing_token()
+            self._fencing_token.increase()
         elif report is ControlReply.OTHER_INCARNATION:
             self.mark_lost("other_incarnation")
         self._end_lapsed()
@@ -489,7 +515,8 @@
         """
         log_event("backend_restarted", born_ms=born_ms, runs=len(self._runs))
         self._last_end_number = 0
-        self._raise_fencing_token()
+        # A higher token fences start requests from before the restart.
+        self._fencing_token.increase()
         for run in list(self._runs.values()):
             if run.started_s is None:
                 run.started_s = run.stop_effective_s = self._last_reply_s
@@ -511,7 +538,7 @@
                 continue
             unknown_runs += 1
             log_event("unknown_run_stopped", run=key.name, attempt=key.attempt)
-            self._nursery.start_soon(self._client.stop, key, self._fencing_token)
+            self._nursery.start_soon(self._client.stop, key, self._fencing_token.value)
         return unknown_runs
 
     def _stop_stalled(self) -> None:
@@ -602,13 +629,6 @@
         lease_s = settings.lease_s * (1 + MAX_CLOCK_DRIFT) + settings.margin_s
         self._lease_end_s = trio.current_time() + lease_s
 
-    def _raise_fencing_token(self) -> None:
-        # An earlier incarnation of the agent had a higher token if the clock was set
-        # back in between. After a restart of the backend server, a higher token fences
-        # earlier start requests.
-        self._fencing_token += _FENCING_TOKEN_INCREMENT_MS
-        log_event("fencing_token_raised", "WARNING", fencing_token=self._fencing_token)
-
 
 def _refusal(reason: str, is_evidence: bool = False) -> BackendOutcome:
     return BackendOutcome(Status.NOT_STARTED, reason=reason, is_evidence=is_evidence)
--- a/tests/test_announcement_store.py
+++ b/tests/test_announcement_store.py
@@ -141,3 +141,21 @@
         assert agent.calls == []
 
     run_with_store(test)
+
+
+def test_restore_goes_on_after_the_clock_stepped_back(run_with_store):
+    # The request was refused as fenced, and the agent had nothing to offer until the
+    # next heartbeat.
+    class FencingRunClient:
+        async def renew(self, renewal):
+            if renewal.fencing_token < TOKEN + 2_400_000:
+                return ControlReply.FENCED
+            return make_report(100)
+
+    async def test(standin, store, nursery):
+        await store_announcement(standin, store, nursery)
+        agent, announcement_store = make_announcement_store(store)
+        await announcement_store.restore(lambda _: FencingRunClient(), TOKEN)
+        assert agent.calls == [make_announcement()]
+
+    run_with_store(test)
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -302,3 +302,20 @@
         assert outcome.is_evidence == (reply.value in shows_fault)
 
     run_leased(test)
+
+
+@pytest.mark.parametrize("clock_step_ms", [2_400_000, 4 * 3_600_000])
+def test_agent_that_restarts_after_its_clock_stepped_back_is_not_kept_out(
+    run_leased, clock_step_ms
+):
+    # On the users' platform the time of day jumps ahead by 40 minutes and back. The
+    # token rose by a minute for each refused request, and the agent took no tasks for
+    # 1.3 s.
+    async def test(backend_server, client, nursery):
+        backend_server.fencing_token = 5 + clock_step_ms
+        started_s = trio.current_time()
+        await wait_until_open(client)
+        assert trio.current_time() - started_s < 0.5
+        assert (await run_task(client)).status is Status.DONE
+
+    run_leased(test)
