Count starts without a reply only if several in a row had none

Load pattern: a tenth of the orders to all workers gets no reply and is carried out 2 to 12 s later (applied_late), while links are reset.

Cause, from the logs of a replay: 84 of 2051 starts had no reply, all ended as never_began; each counted as a failure, and 7 of 11 sound workers were quarantined within 4 s. The entries refused the jobs with 112. Ruled out: the resets (7 refusals with 118, in the 50 ms after them); room that stays reserved for late orders (their stops are confirmed within 0.1 s).

Change: a start without a reply is evidence only after two more in a row. A worker that answers no start is still quarantined.

--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -34,6 +34,9 @@
 # Fencing tokens are Unix times in milliseconds. The increment doubles each time, so
 # that a few suffice after the clock was set back by an hour.
 _FENCING_TOKEN_INCREMENT_MS = 60_000
+# Load pattern: a share of the orders to sound backend servers gets no reply. This many
+# starts in a row without a reply are no evidence against a backend server.
+_MAX_LOST_STARTS = 2
 # Reason of a stop because of missing progress. It counts as a failure of the
 # backend server.
 STALLED = "stalled"
@@ -248,6 +251,8 @@
         started_s: When the agent learned that the run started; None before.
         stop_effective_s: Time from which on the run is certainly stopped or can no
             longer start; None while no stop is confirmed.
+        is_evidence: Whether a start without a reply is evidence of a fault of the
+            backend server, as those before it had no reply either.
         progress: Completed fraction, 0 to 1, as last reported.
         progressed_s: When the progress last rose.
         is_stalled: Whether the run was stopped because of missing progress.
@@ -261,6 +266,7 @@
     requested_s: float
     started_s: float | None = None
     stop_effective_s: float | None = None
+    is_evidence: bool = True
     progress: float = 0.0
     progressed_s: float = math.inf
     is_stalled: bool = False
@@ -295,6 +301,7 @@
         self._on_availability_change = on_availability_change
         self._runs: dict[RunKey, _Run] = {}
         self._last_end_number = 0
+        self._unanswered_start_count = 0
         self._backend_clock_ms = 0
         self._clock_read_s = 0.0
         self._is_responsive = False
@@ -381,7 +388,10 @@
             now_s = trio.current_time()
             run.started_s = run.started_s or now_s
             run.progressed_s = min(run.progressed_s, now_s)
+            self._unanswered_start_count = 0
         elif reply is StartReply.UNANSWERED:
+            self._unanswered_start_count += 1
+            run.is_evidence = self._unanswered_start_count > _MAX_LOST_STARTS
             self._stop_soon(run)
         elif run.started_s is None:
             is_evidence = reply is StartReply.UNHEALTHY
@@ -412,7 +422,7 @@
         if run.end is EndKind.FAILED:
             return BackendOutcome(Status.FAILED, reason="task_failed", run_s=run_s)
         if run.end is EndKind.NEVER_STARTED:
-            return BackendOutcome(Status.NOT_STARTED, reason=reason)
+            return _refusal(reason, run.is_evidence)
         return BackendOutcome(Status.STOPPED, reason=reason, run_s=run_s)
 
     def _finish(self, run: _Run, kind: EndKind) -> None:
