--- a/gooseberrylink/backends/http_client.py
+++ b/gooseberrylink/backends/http_client.py
@@ -33,7 +33,6 @@
         self._url = f"http://{announcement.address}/tasks"
         self._run_timeout_s = run_timeout_s
         self._idle_connections: list[httpcore.AsyncHTTPConnection] = []
-        self._running_task_count = 0
         self._closed = trio.Event()
 
     async def run(
@@ -48,11 +47,9 @@
                 "payload": payload,
             }
         )
-        self._running_task_count += 1
         try:
             return await self._run(body)
         finally:
-            self._running_task_count -= 1
             if self._closed.is_set():
                 await self._close_idle_connections()
 
