Keep one definition of a checked amount of a resource

platform/heartbeats.py and platform/job_api.py each defined the same type and limit; resources.py has it now. A fixture's unused parameter is gone, and a comment in test_leased says 1.2 s, as was measured (1.21 s). Behaviour and bounds are the same; test_malformed_input, test_platform, test_leased pass.

--- a/gooseberrylink/platform/heartbeats.py
+++ b/gooseberrylink/platform/heartbeats.py
@@ -1,7 +1,5 @@
 """Receives the heartbeats of the backend server on the same host."""
 
-from typing import Annotated
-
 import msgspec
 
 from gooseberrylink.addresses import split_address
@@ -11,6 +9,7 @@
 from gooseberrylink.exceptions import MalformedAddressError
 from gooseberrylink.logs import log_event
 from gooseberrylink.metrics import Metrics
+from gooseberrylink.resources import Amount
 
 # A heartbeat states the cores of a backend server, but not how many tasks run on them
 # at once. This number is assumed, as a typical backend server that announces slots has
@@ -20,17 +19,12 @@
 _MAX_BODY_BYTES = 64 * 1024
 
 
-# Larger numbers would not fit into the frames to entries.
-_MAX_AMOUNT = 2**31 - 1
-_Amount = Annotated[int, msgspec.Meta(ge=0, le=_MAX_AMOUNT)]
-
-
 class _Capacity(msgspec.Struct, rename="camel"):
     """The resources of a backend server; `cpu` is in thousandths of a core."""
 
-    cpu: _Amount
-    mem_mb: _Amount = 0
-    gpu: _Amount = 0
+    cpu: Amount
+    mem_mb: Amount = 0
+    gpu: Amount = 0
 
 
 class _Heartbeat(msgspec.Struct, rename="camel"):
--- a/gooseberrylink/platform/job_api.py
+++ b/gooseberrylink/platform/job_api.py
@@ -22,7 +22,7 @@
 from gooseberrylink.logs import log_event
 from gooseberrylink.operators.declarations import Queue
 from gooseberrylink.platform.run_client import TaskPayload
-from gooseberrylink.resources import Resources
+from gooseberrylink.resources import Amount, Resources
 from gooseberrylink.types import (
     Answer,
     JobRequest,
@@ -45,10 +45,7 @@
 
 # A longer list of tasks is refused before it is built. Declarations allow fewer.
 _MAX_TASKS_PER_STEP = 10_000
-# Larger numbers would not fit into the frames to agents.
-_MAX_AMOUNT = 2**31 - 1
 _MAX_ESTIMATE_MS = 86_400_000
-_Amount = Annotated[int, msgspec.Meta(ge=0, le=_MAX_AMOUNT)]
 
 
 class _Step(msgspec.Struct, rename="camel"):
@@ -60,9 +57,9 @@
     """
 
     count: Annotated[int, msgspec.Meta(ge=1, le=_MAX_TASKS_PER_STEP)]
-    cpu: _Amount = 0
-    mem_mb: _Amount = 0
-    gpu: _Amount = 0
+    cpu: Amount = 0
+    mem_mb: Amount = 0
+    gpu: Amount = 0
     estimate_ms: Annotated[float, msgspec.Meta(ge=0, le=_MAX_ESTIMATE_MS)] = 0.0
     affinity: str = ""
     after: list[int] = []
--- a/gooseberrylink/resources.py
+++ b/gooseberrylink/resources.py
@@ -1,7 +1,14 @@
 """Defines the resources that tasks use at backend servers."""
 
+from typing import Annotated
+
 import msgspec
 
+# Larger numbers would not fit into the frames between entries and agents.
+_MAX_AMOUNT = 2**31 - 1
+# An amount of a resource, as input is checked.
+Amount = Annotated[int, msgspec.Meta(ge=0, le=_MAX_AMOUNT)]
+
 
 class Resources(msgspec.Struct, array_like=True, frozen=True):
     """Resources that a task uses, or that a backend server has.
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -312,7 +312,7 @@
 ):
     # On the users' platform the time of day jumps ahead by 40 minutes and back. The
     # token rose by a minute for each refused request, and the agent took no tasks for
-    # 1.3 s.
+    # 1.2 s.
     async def test(backend_server, client, nursery):
         backend_server.fencing_token = 5 + clock_step_ms
         started_s = trio.current_time()
@@ -344,7 +344,7 @@
 
 
 @pytest.fixture
-def count_quarantines(run_on_deployment, make_job):
+def count_quarantines(run_on_deployment):
     """Returns a function that counts the quarantines of workers with late orders."""
 
     def count(late_period: int, job_count: int = 60) -> tuple[int, int]:
