Count suspended time on the clock of the daemons

Cause: trio's default clock is the monotonic clock, which stands still while a host is suspended. An agent that resumed after 5 s took an assignment that had been sent just before the suspension for fresh: the lease of its entry (0.8 s) and the start deadline had not passed by its clock. Meanwhile the entry had seen the link silent and given the task to another worker, or the caller had sent the job again elsewhere. The end of the lease in the start request was in the past on the worker's clock at first, but the first renewal after the resume refreshes the agent's reading of that clock and ends this protection.

run_daemon, which runs all entries and agents of both program families, now runs trio on CLOCK_BOOTTIME. To a program a suspension then looks like a freeze, which the assignment table, the links and the backend client handle already. Timers whose deadline passed meanwhile fire at the next wake-up of the loop; the kernel does not count the suspension in a sleep, but both programs wake at least once a second, so the sleep has no limit of its own.

Evidence, tests/test_suspension.py on:

Both pass now, and test_shutdown, test_startup, test_assignment_table, test_processes, test_soak and test_docs.

Ruled out: other direct uses of the monotonic clock. The age of the agent's process is too low after a suspension, so the agent dials later; the logs use it for limits on lines only. The worker is not suspended with the host (measured earlier), so its lease does pass.

--- a/gooseberrylink/shutdown.py
+++ b/gooseberrylink/shutdown.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from gooseberrylink.clock import SuspensionAwareClock
 from gooseberrylink.exceptions import ListenError, first_leaf
 from gooseberrylink.logs import log_event
 
@@ -23,11 +24,13 @@
 def run_daemon(main: Callable[..., Awaitable[None]], *arguments: object) -> None:
     """Runs an async function with trio until it returns.
 
+    Its clock counts the time for which the host is suspended.
+
     Raises:
         ListenError: An address can't be listened on, and nothing else failed.
     """
     try:
-        trio.run(main, *arguments)
+        trio.run(main, *arguments, clock=SuspensionAwareClock())
     except BaseExceptionGroup as group:
         listen_errors, other_errors = group.split(ListenError)
         if listen_errors is None or other_errors is not None:
