Send an agent's hello without proof only after entries acted on silence

Cause: a restarted agent connected to entries after one lease (1.02 s minus the age of its process) although its worker had not replied. Entries take the hello of a new incarnation as proof that all runs of the earlier one have ended, and rerun its tasks at once. Only a reply to this incarnation, whose fencing token is higher, rules that out.

The agent still dials as soon as its backend server has opened, which is that proof. Without it, it now dials only after the time by which entries have rerun the tasks of a silent agent anyway (their 2.6 s after the link closed, plus at most 1 s until they notice a silent link), so the hello never makes a rerun earlier. Entries and agents derive both times from the same constants in platform/common.py. The age of the process is no longer subtracted: the wait is for a worker that does not reply, which has no resources to offer. The stand-in deployment's default follows the same rule (1.1 s was less than the 2.4 s after which its entries rerun).

Effects: an agent whose worker is gone for good connects 3.6 s after its start instead of 1.02 s, without resources as before; its entries rerun the tasks of the earlier incarnation 2.6 s after its end and not at its hello. Entries that learn the configuration from agents while the store is down learn it from agents that have it; a restarted agent has none. Not closed: silence itself is no proof against a request that is executed more than 1.7 s late.

Ruled out: never dialing without proof. Entries count connected agents for their readiness, and the worker may be gone for good.

--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -556,12 +556,14 @@
 
         An entry takes the hello of this incarnation as proof that they have ended.
         The agent therefore waits until the backend server opens, which shows that
-        it listed all of its runs and none is from an earlier incarnation, or until
-        dial_after_s has passed, by which time the leases of such runs have ended.
+        it listed all of its runs, that none is from an earlier incarnation, and that
+        the fencing token bars late requests of one. A backend server may be gone for
+        good, so the wait ends after dial_after_s, by which time entries have rerun
+        the tasks without a hello.
         """
         with trio.move_on_after(self.settings.dial_after_s) as scope:
             await self._backend_opened.wait()
-        by = "lease" if scope.cancelled_caught else "backend"
+        by = "silence" if scope.cancelled_caught else "backend"
         log_event("earlier_runs_ended", by=by, incarnation=self.incarnation)
         self._can_dial = True
         self._connect_chosen_entries()
--- a/gooseberrylink/platform/__main__.py
+++ b/gooseberrylink/platform/__main__.py
@@ -4,7 +4,10 @@
 """
 
 import sys
-import time
+
+from gooseberrylink.exceptions import ConfigError, ListenError
+from gooseberrylink.platform.common import run_program
+from gooseberrylink.platform.settings import settings_path
 
 _EXIT_USAGE = 2
 _EXIT_INVALID_FILE = 3
@@ -14,22 +17,14 @@
 
 def main(arguments: list[str]) -> int:
     """Runs the program named on the command line; returns the exit code."""
-    started_s = time.monotonic()
     if len(arguments) != 1 or arguments[0] not in _PROGRAMS:
         print(
             f"expected one argument, one of {', '.join(_PROGRAMS)}; got {arguments}",
             file=sys.stderr,
         )
         return _EXIT_USAGE
-    # Imported after the start time is taken: the imports are most of the startup time,
-    # which the agent subtracts from its wait for runs of its earlier incarnation to
-    # end.
-    from gooseberrylink.exceptions import ConfigError, ListenError
-    from gooseberrylink.platform.common import run_program
-    from gooseberrylink.platform.settings import settings_path
-
     try:
-        run_program(_import_program(arguments[0]), settings_path(), started_s)
+        run_program(_import_program(arguments[0]), settings_path())
     except ConfigError as error:
         print("\n".join(error.errors), file=sys.stderr)
         return _EXIT_INVALID_FILE
--- a/gooseberrylink/platform/agent_program.py
+++ b/gooseberrylink/platform/agent_program.py
@@ -11,7 +11,6 @@
 from gooseberrylink.backends.incarnations import IncarnationTracker
 from gooseberrylink.backends.leased import (
     LEASE_S,
-    MAX_CLOCK_DRIFT,
     LeasedBackendClient,
     LeaseSettings,
 )
@@ -20,6 +19,7 @@
 from gooseberrylink.logs import log_event
 from gooseberrylink.peers.tcp_link import TcpDialer
 from gooseberrylink.platform.common import (
+    RERUN_AFTER_AGENT_END_S,
     RESPONSE_FLUSH_S,
     link_settings,
     log_settings_changes,
@@ -48,18 +48,11 @@
 class AgentProgram:
     """The agent on a worker; see Daemon."""
 
-    def __init__(
-        self,
-        settings: Settings,
-        path: pathlib.Path,
-        started_s: float,
-    ):
+    def __init__(self, settings: Settings, path: pathlib.Path):
         self._settings = settings
         self._path = path
         self._store = PlatformStore(settings.platform.address)
-        process_age_s = time.monotonic() - started_s
-        agent_settings = _agent_settings(settings, process_age_s)
-        self._agent = Agent(agent_settings, TcpDialer())
+        self._agent = Agent(_agent_settings(settings), TcpDialer())
         self._stop = trio.Event()
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -133,11 +126,7 @@
     return time.time_ns() // 1_000_000
 
 
-def _agent_settings(settings: Settings, process_age_s: float) -> AgentSettings:
-    # Runs that an earlier incarnation of the agent started end with their lease at
-    # the latest. After that time, the agent connects to entries even if its backend
-    # server has not shown that they ended.
-    max_lease_s = settings.bounds.hold_max_ms / 1000 * (1 + MAX_CLOCK_DRIFT)
+def _agent_settings(settings: Settings) -> AgentSettings:
     return AgentSettings(
         worker=settings.node,
         data_centre=settings.zone,
@@ -147,6 +136,6 @@
         cautious_jobs=_FAILED_JOBS_BEFORE_THROTTLING,
         max_entries=_MAX_ENTRIES,
         probation_s=_PROBATION_S,
-        dial_after_s=max(0.0, max_lease_s - process_age_s),
+        dial_after_s=RERUN_AFTER_AGENT_END_S,
         **link_settings(),
     )
--- a/gooseberrylink/platform/common.py
+++ b/gooseberrylink/platform/common.py
@@ -8,6 +8,7 @@
 import trio
 
 from gooseberrylink.asgi import PlainRequest, PlainResponse, make_plain_app
+from gooseberrylink.backends.leased import LEASE_S
 from gooseberrylink.exceptions import ConfigError
 from gooseberrylink.http_server import serve_http
 from gooseberrylink.logs import configure_logs, log_event
@@ -34,6 +35,13 @@
 _BUSY_HEARTBEAT_S = 0.25
 _IDLE_HEARTBEAT_S = 0.5
 _MAX_MISSED_HEARTBEATS = 3
+# Time after an agent's link closed at which entries rerun its tasks.
+RERUN_AFTER_SILENCE_S = ENTRY_LEASE_S + 2 * LEASE_S
+# Time after an agent's end by which entries have done so, also if its link did not
+# close but fell silent.
+RERUN_AFTER_AGENT_END_S = (
+    _MAX_MISSED_HEARTBEATS + 1
+) * _BUSY_HEARTBEAT_S + RERUN_AFTER_SILENCE_S
 
 
 async def serve_metrics(settings: Settings, metrics: Metrics) -> None:
@@ -97,20 +105,15 @@
     await trio.sleep_forever()
 
 
-ProgramFactory = Callable[[Settings, pathlib.Path, float], Daemon]
+ProgramFactory = Callable[[Settings, pathlib.Path], Daemon]
 
 
-def run_program(
-    make_program: ProgramFactory,
-    path: pathlib.Path,
-    started_s: float,
-) -> None:
+def run_program(make_program: ProgramFactory, path: pathlib.Path) -> None:
     """Runs a program in this process until it has shut down.
 
     Args:
         make_program: Makes the program from its settings.
         path: Path of its settings file.
-        started_s: When the process started, on the monotonic clock.
 
     Raises:
         ConfigError: The settings file is not valid.
@@ -118,17 +121,14 @@
     """
     settings = read_settings(path)
     configure_logs()
-    run_daemon(_run, make_program, settings, path, started_s)
+    run_daemon(_run, make_program, settings, path)
 
 
 async def _run(
-    make_program: ProgramFactory,
-    settings: Settings,
-    path: pathlib.Path,
-    started_s: float,
+    make_program: ProgramFactory, settings: Settings, path: pathlib.Path
 ) -> None:
     try:
-        program = make_program(settings, path, started_s)
+        program = make_program(settings, path)
     except pydantic.ValidationError as error:
         raise ConfigError(format_settings_errors(path, error)) from None
     await run_until_signal(program)
--- a/gooseberrylink/platform/entry_program.py
+++ b/gooseberrylink/platform/entry_program.py
@@ -5,7 +5,6 @@
 import trio
 
 from gooseberrylink.asgi import App, PlainRequest, PlainResponse, make_plain_app
-from gooseberrylink.backends.leased import LEASE_S
 from gooseberrylink.entry import Entry
 from gooseberrylink.entry_daemon import EntryComponents, EntryDaemon
 from gooseberrylink.entry_discovery import register_entry
@@ -13,8 +12,8 @@
 from gooseberrylink.metrics import Metrics
 from gooseberrylink.peers.tcp_link import TcpListener
 from gooseberrylink.platform.common import (
-    ENTRY_LEASE_S,
     MAX_IGNORED_BODY_BYTES,
+    RERUN_AFTER_SILENCE_S,
     RESPONSE_FLUSH_S,
     link_settings,
     log_settings_changes,
@@ -42,12 +41,7 @@
 class EntryProgram:
     """The entry on an entry host; see Daemon."""
 
-    def __init__(
-        self,
-        settings: Settings,
-        path: pathlib.Path,
-        started_s: float,
-    ):
+    def __init__(self, settings: Settings, path: pathlib.Path):
         self._settings = settings
         self._path = path
         self._store = PlatformStore(settings.platform.address)
@@ -111,6 +105,6 @@
         drain_quiet_s=_DRAIN_QUIET_S,
         agents_back_s=_STARTUP_GRACE_S,
         remote_factor=settings.bounds.remote_factor,
-        rerun_after_silence_s=ENTRY_LEASE_S + 2 * LEASE_S,
+        rerun_after_silence_s=RERUN_AFTER_SILENCE_S,
         **link_settings(),
     )
--- a/gooseberrylink/settings.py
+++ b/gooseberrylink/settings.py
@@ -64,9 +64,10 @@
             or all entries from another source such as a table.
         max_entries: Maximum number of entries that it connects to.
         dial_after_s: Time after the agent's start at which it connects to entries.
-            All runs of earlier incarnations must have ended by then. The agent
-            connects earlier once a backend server has listed its runs and none is
-            from an earlier incarnation.
+            By then entries must have rerun the tasks of the earlier incarnation,
+            because it is silent (rerun_after_silence_s). The agent connects earlier
+            once a backend server has listed its runs and none is from an earlier
+            incarnation.
         retention_s: How long results are kept for their entry; must exceed the
             longest deadline of a job (max_deadline_s of a service).
         max_records: Maximum number of assignments whose records are kept; further
--- a/gooseberrylink/standins/deployment.py
+++ b/gooseberrylink/standins/deployment.py
@@ -165,7 +165,7 @@
             "busy_heartbeat_s": 0.15,
             "idle_heartbeat_s": 0.3,
             "max_misses": 4,
-            "dial_after_s": 1.1,
+            "dial_after_s": 3.2,
         }
         agent = Agent(
             AgentSettings(**(values | settings)),
--- /dev/null
+++ b/tests/test_agent_restart.py
@@ -0,0 +1,93 @@
+"""Tests an agent that is restarted beside a worker that continues."""
+
+import pytest
+import trio
+import yaml
+from test_reruns import make_job
+from test_startup import PLATFORM_SETTINGS
+
+from gooseberrylink.codes import Code
+from gooseberrylink.platform import agent_program, entry_program
+from gooseberrylink.platform.common import link_settings
+from gooseberrylink.platform.settings import read_settings
+from gooseberrylink.standins.leased_backend import (
+    FakeLeasedBackend,
+    find_tasks_with_overlapping_runs,
+)
+
+# A task's only start request is executed this late. With the lease that it carries, its
+# run ends 2.4 s after the request, before entries rerun tasks of a silent agent.
+EXECUTION_DELAY_S = 1.5
+LEASE_MS = 900
+
+
+class BackendWithLateLeases(FakeLeasedBackend):
+    """Counts the lease in a start request from the execution of the request."""
+
+    def _start(self, key, payload, lease_end_ms, fencing_token):
+        lease_end_ms = max(lease_end_ms, self.clock_ms() + LEASE_MS)
+        return super()._start(key, payload, lease_end_ms, fencing_token)
+
+
+@pytest.fixture
+def platform_settings(tmp_path):
+    path = tmp_path / "local.yaml"
+    changes = {"bindAddresses": {"front": "10.0.0.1:1", "readiness": "10.0.0.1:2"}}
+    path.write_text(yaml.safe_dump(PLATFORM_SETTINGS | changes))
+    return read_settings(path)
+
+
+def test_hello_of_a_restarted_agent_reruns_no_task_earlier_than_silence(
+    run_on_deployment, platform_settings
+):
+    # The hello was sent after the time of a lease, although the worker had not replied
+    # and executed a start of the earlier incarnation afterwards.
+    entry_settings = entry_program._entry_settings(platform_settings)
+    agent_settings = agent_program._agent_settings(platform_settings)
+
+    async def test(deployment):
+        async with trio.open_nursery() as nursery:
+            entry = await deployment.add_entry(
+                "entry-1",
+                rerun_after_silence_s=entry_settings.rerun_after_silence_s,
+                **link_settings(),
+            )
+            workers = [
+                BackendWithLateLeases("tank-1", nursery),
+                BackendWithLateLeases("tank-2", nursery),
+            ]
+            for worker in workers:
+                nursery.start_soon(worker.advance_runs)
+
+            async def add_agent(worker, fencing_token):
+                await deployment.add_agent_with_leases(
+                    worker,
+                    fencing_token,
+                    dial_after_s=agent_settings.dial_after_s,
+                    **link_settings(),
+                )
+
+            await add_agent(workers[0], fencing_token=1)
+            await deployment.wait_connected()
+            workers[0].execution_delay_s = EXECUTION_DELAY_S
+            answers = []
+
+            async def submit():
+                answers.append(await entry.submit(make_job("a", 1.0)))
+
+            async with trio.open_nursery() as submit_nursery:
+                submit_nursery.start_soon(submit)
+                await trio.sleep(0.1)
+                deployment.kill_agent("tank-1")
+                workers[0].is_unresponsive = True
+                await add_agent(workers[1], fencing_token=1)
+                await add_agent(workers[0], fencing_token=2)
+            assert [answer.code for answer in answers] == [Code.OK]
+            assert [len(worker.runs) for worker in workers] == [1, 1]
+            assert find_tasks_with_overlapping_runs(workers) == []
+            # A worker that is gone does not keep its agent from entries for good.
+            await trio.sleep(agent_settings.dial_after_s)
+            assert deployment.network.find_open_connections("tank-1")
+            nursery.cancel_scope.cancel()
+
+    run_on_deployment(test)
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -102,6 +102,6 @@
     path = tmp_path / "local.yaml"
     path.write_text(yaml.safe_dump(PLATFORM_SETTINGS))
     daemon = SuspendedDaemon(suspend)
-    run_program(lambda *_: daemon, path, 0.0)
+    run_program(lambda *_: daemon, path)
     assert len(daemon.slept_s) == 1
     assert daemon.slept_s[0] > SUSPENDED_S
