Repeat a restarted agent's first request to its worker if it gets no reply

What callers saw: fewer tasks in time after an agent was killed, as its worker had no resources to offer until the next heartbeat (1.5 s).

Cause: AnnouncementStore.restore gave up after one unanswered request, although requests to workers are sometimes lost. Since a hello without proof comes late, the proof that runs of the earlier incarnation have ended came late, too.

The request is now repeated after 0.1 s while it gets no reply, for as long as the agent would wait for a heartbeat anyway, and until one has come.

Evidence, test_restore_goes_on_after_lost_requests on:

assert agent.calls == [make_announcement()] E AssertionError: assert [] == [Announcement(...)]

It passes now, as do test_agent_restart, test_incarnations, test_platform and test_malformed_input. test_restore_ends_with_the_first_heartbeat also passed before; it bounds the repetition.

--- a/gooseberrylink/backends/announcement_store.py
+++ b/gooseberrylink/backends/announcement_store.py
@@ -30,6 +30,9 @@
 _RESTORED_SEQUENCE = -1
 # Enough for a clock that was set back by several hours.
 _MAX_FENCED_REQUESTS = 10
+# Requests without a reply are repeated until the next announcement is due.
+_MAX_SILENCE_S = 1.5
+_RETRY_PAUSE_S = 0.1
 
 
 class _StoredAnnouncement(msgspec.Struct):
@@ -117,7 +120,9 @@
         if stored.is_leaving:
             return "leaving"
         announcement = stored.announcement
-        report = await _request_report(make_run_client(announcement), fencing_token)
+        report = await self._request_report(
+            make_run_client(announcement), fencing_token
+        )
         if not isinstance(report, RunReport):
             return report.value
         if report.born_ms != announcement.born_ms:
@@ -130,6 +135,32 @@
         )
         return None
 
+    async def _request_report(
+        self, client: RunClient, fencing_token: int
+    ) -> RunReport | ControlReply:
+        """Requests the state of the runs.
+
+        The request is repeated with a higher token if it was fenced, and while it
+        gets no reply.
+        """
+        token = FencingToken(fencing_token)
+        fenced_requests = 0
+        give_up_s = trio.current_time() + _MAX_SILENCE_S
+        while True:
+            report = await client.renew(LeaseRenewal(token.value, 0, None, 0.0))
+            if report is ControlReply.FENCED:
+                fenced_requests += 1
+                if fenced_requests == _MAX_FENCED_REQUESTS:
+                    return report
+                token.increase()
+            elif report is ControlReply.UNANSWERED:
+                is_announced = self._incarnations.newest_announcement is not None
+                if is_announced or trio.current_time() >= give_up_s:
+                    return report
+                await trio.sleep(_RETRY_PAUSE_S)
+            else:
+                return report
+
     def _save_if_changed(self) -> None:
         newest_announcement = self._incarnations.newest_announcement
         if newest_announcement is None:
@@ -143,19 +174,6 @@
             self._changed.set()
 
 
-async def _request_report(
-    client: RunClient, fencing_token: int
-) -> RunReport | ControlReply:
-    """Requests the state of the runs, again with a higher token if it was fenced."""
-    token = FencingToken(fencing_token)
-    for _ in range(_MAX_FENCED_REQUESTS):
-        report = await client.renew(LeaseRenewal(token.value, 0, None, 0.0))
-        if report is not ControlReply.FENCED:
-            break
-        token.increase()
-    return report
-
-
 def _decode_row(row: StoredRow | None) -> _StoredAnnouncement | None:
     if row is None or row.value is None:
         return None
--- a/tests/test_announcement_store.py
+++ b/tests/test_announcement_store.py
@@ -1,5 +1,7 @@
 """A restarted agent restores the announcement of its backend server."""
 
+import math
+
 import pytest
 import trio
 
@@ -159,3 +161,43 @@
         assert agent.calls == [make_announcement()]
 
     run_with_store(test)
+
+
+class LossyRunClient:
+    """Client of a backend server that does not receive the first requests."""
+
+    def __init__(self, lost_requests: float):
+        self.lost_requests = lost_requests
+        self.requests = 0
+
+    async def renew(self, renewal):
+        await trio.lowlevel.checkpoint()
+        self.requests += 1
+        if self.requests <= self.lost_requests:
+            return ControlReply.UNANSWERED
+        return make_report(100)
+
+
+def test_restore_goes_on_after_lost_requests(run_with_store):
+    # After one lost request, the agent waited for the next heartbeat.
+    async def test(standin, store, nursery):
+        await store_announcement(standin, store, nursery)
+        agent, announcement_store = make_announcement_store(store)
+        client = LossyRunClient(lost_requests=2)
+        await announcement_store.restore(lambda _: client, TOKEN)
+        assert agent.calls == [make_announcement()]
+
+    run_with_store(test)
+
+
+def test_restore_ends_with_the_first_heartbeat(run_with_store):
+    async def test(standin, store, nursery):
+        await store_announcement(standin, store, nursery)
+        agent, announcement_store = make_announcement_store(store)
+        client = LossyRunClient(lost_requests=math.inf)
+        announcement_store.handle_announcement(make_announcement(born_ms=200), 1, False)
+        await announcement_store.restore(lambda _: client, TOKEN)
+        assert client.requests == 1
+        assert agent.calls == [make_announcement(born_ms=200)]
+
+    run_with_store(test)
