Do not request the start of a task that was revoked before

Cause: an agent that reads an assignment and its revocation one after the other, as after a freeze or when both frames arrive in one TCP segment, handled the revocation before the task of the assignment had run. It marked the record as stopping and asked the client of the backend server to stop a task that the client did not know yet, which did nothing. Then the start was requested. As the record was marked, no later revocation and no end of the entry's lease stopped the run: it went on to its end, while the caller sent the job again 1.3 s later. Over memory links the order depends on the scheduler; a TCP link returns frames that it has already received without yielding, so by the code the revocation always comes first there (not run).

The agent now reports "not started" for a task that was to be stopped before its start was requested. From there to the client's own record of the run nothing yields, so a stop finds either the mark or the run. Backend servers that can't stop tasks are not marked and start them as before.

Passed: test_suspension, test_agent_restart, test_reruns, test_assignment_table, test_shutdown, test_leased, test_faults, test_answers, test_backend_health, test_docs.

--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -411,8 +411,22 @@
 
     async def _run_task(self, peer: EntryPeer, record: AssignmentRecord) -> None:
         assign = record.assign
+        outcome = await self._run_at_backend(record)
+        now_s = trio.current_time()
+        self._free_slot(peer, record, now_s)
+        self._record_outcome(record, assign, outcome, now_s)
+        self._report(peer, record, outcome, now_s)
+        self._start_held(now_s)
+
+    async def _run_at_backend(self, record: AssignmentRecord) -> BackendOutcome:
+        if record.is_stopping:
+            # The client could not stop it, because it did not know the task yet.
+            return BackendOutcome(
+                Status.NOT_STARTED, reason="revoked", is_evidence=False
+            )
+        assign = record.assign
         try:
-            outcome = await record.backend.run(
+            return await record.backend.run(
                 assign.task_id,
                 assign.job_id,
                 assign.customer,
@@ -421,12 +435,7 @@
             )
         except Exception as error:
             log_event("backend_client_failed", "ERROR", error=repr(error))
-            outcome = BackendOutcome(Status.MAY_HAVE_RUN, reason="backend_broke")
-        now_s = trio.current_time()
-        self._free_slot(peer, record, now_s)
-        self._record_outcome(record, assign, outcome, now_s)
-        self._report(peer, record, outcome, now_s)
-        self._start_held(now_s)
+            return BackendOutcome(Status.MAY_HAVE_RUN, reason="backend_broke")
 
     def _free_slot(
         self, peer: EntryPeer, record: AssignmentRecord, now_s: float
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -9,12 +9,15 @@
 import pytest
 import trio
 import yaml
+from test_reruns import ENTRY_SETTINGS, LINK_SETTINGS
+from test_reruns import make_job as make_leased_job
 from test_startup import PLATFORM_SETTINGS
 
 from gooseberrylink.codes import Code
 from gooseberrylink.platform.common import run_program
 from gooseberrylink.shutdown import run_daemon
 from gooseberrylink.standins.deployment import Deployment
+from gooseberrylink.standins.leased_backend import FakeLeasedBackend
 from gooseberrylink.standins.network import MemoryNetwork
 
 SUSPENDED_S = 5.0
@@ -105,3 +108,34 @@
     run_program(lambda *_: daemon, path)
     assert len(daemon.slept_s) == 1
     assert daemon.slept_s[0] > SUSPENDED_S
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_revocation_that_is_read_with_its_assignment_stops_the_task(
+    run_on_deployment, seed
+):
+    # The agent asked its backend server's client to stop a task whose start was not
+    # requested yet, and requested it afterwards.
+    async def test(deployment):
+        async with trio.open_nursery() as nursery:
+            entry = await deployment.add_entry(
+                "entry-1", **ENTRY_SETTINGS, **LINK_SETTINGS
+            )
+            worker = FakeLeasedBackend("tank-1", nursery)
+            nursery.start_soon(worker.advance_runs)
+            agent = await deployment.add_agent_with_leases(worker)
+            await deployment.wait_connected()
+            (connection,) = deployment.network.find_open_connections("tank-1")
+            connection.agent_end.pause_delivery()
+            with trio.move_on_after(0.1):
+                await entry.submit(make_leased_job("a", *[4.0] * 6))
+            await trio.sleep(0.1)
+            connection.agent_end.resume_delivery()
+            await trio.sleep(0.5)
+            now_s = trio.current_time()
+            assert [run.key for run in worker.runs if run.ended_s > now_s] == []
+            assert agent.allocator.idle_units() == worker.capacity_units
+            assert entry.dispatcher.pool("dispatch").in_flight_count == 0
+            nursery.cancel_scope.cancel()
+
+    run_on_deployment(test, seed)
