Repeat stop requests without waiting for the reply to the last one

Cause: when an entry dies, its agents notice the end of its lease (0.8 s) in a check every 0.2 s and stop its tasks. A worker may leave a request without a reply and execute it seconds later. The agent waited up to 0.25 s for the reply and 0.03 s more before it repeated the stop, so two lost requests in a row used up the rest of the 1.3 s.

Why the fix works: a worker normally replies within milliseconds and a stop is idempotent, so the next request is sent after 30 ms whether or not the last one was answered, on a connection of its own. At most eight are in flight for one run, and the pauses grow by a tenth, so that a silent worker gets ever fewer. The first confirmation, or the end of the run, cancels the others. Several of them may be refused for one low fencing token; only the first refusal raises it.

Ruled out: a shorter timeout for each request, which would report sound but busy workers as silent; HttpClient gives concurrent calls separate connections, so a lost request does not delay the next.

The stand-in worker executes a drawn share of all requests late, and optionally counts their lease from the execution. As the protocol says, it also takes the lease of a start that it refuses as old.

--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -37,6 +37,11 @@
 # Load pattern: a share of the orders to sound backend servers gets no reply. This many
 # starts in a row without a reply are no evidence against a backend server.
 _MAX_LOST_STARTS = 2
+# Bound of the requests in flight to stop one run.
+_MAX_STOPS_IN_FLIGHT = 8
+# Factor by which the pause before the next request to stop a run grows, so that a
+# silent backend server gets ever fewer.
+_STOP_PAUSE_GROWTH = 1.1
 # Reason of a stop because of missing progress. It counts as a failure of the
 # backend server.
 STALLED = "stalled"
@@ -107,6 +112,11 @@
     value: int
     _increment_ms: int = _FENCING_TOKEN_INCREMENT_MS
 
+    def increase_past(self, refused_value: int) -> None:
+        """Increases the value unless that was done since the refused request."""
+        if self.value == refused_value:
+            self.increase()
+
     def increase(self) -> None:
         """Increases the value, each time by twice as much as before.
 
@@ -220,6 +230,7 @@
             run.
         wait_while_idle_s: How long a renewal waits while no task runs.
         retry_s: Pause before an unanswered request is repeated.
+        max_stop_pause_s: Longest pause before a request to stop a run is repeated.
         max_silence_s: Time without a reply after which no new run is started.
         hung_s: Time without progress of any run after which the backend server
             counts as hung: no new run is started, and all runs are stopped.
@@ -235,6 +246,7 @@
     wait_while_busy_s: float = 0.15
     wait_while_idle_s: float = 0.25
     retry_s: float = 0.03
+    max_stop_pause_s: float = 0.25
     max_silence_s: float = 0.5
     hung_s: float = 0.2
     wait_while_stalled_s: float = 0.05
@@ -258,6 +270,8 @@
         is_stalled: Whether the run was stopped because of missing progress.
         end: How the run ended; None before.
         is_stopping: Whether a stop was requested.
+        stop_requests: How many requests to stop it were sent.
+        stop_settled: Set when a stop is confirmed or the run has ended.
         ended: Set when the run has ended.
     """
 
@@ -272,6 +286,8 @@
     is_stalled: bool = False
     end: EndKind | None = None
     is_stopping: bool = False
+    stop_requests: int = 0
+    stop_settled: trio.Event = dataclasses.field(default_factory=trio.Event)
     ended: trio.Event = dataclasses.field(default_factory=trio.Event)
 
 
@@ -435,8 +451,10 @@
                 attempt=run.key.attempt,
                 how=kind.value,
                 progress=run.progress,
+                stop_requests=run.stop_requests,
                 took_s=trio.current_time() - run.requested_s,
             )
+            run.stop_settled.set()
             run.ended.set()
 
     def _stop_soon(self, run: _Run) -> None:
@@ -445,16 +463,35 @@
             self._nursery.start_soon(self._stop, run)
 
     async def _stop(self, run: _Run) -> None:
-        while run.end is None and run.stop_effective_s is None:
-            reply = await self._client.stop(run.key, self._fencing_token.value)
-            if reply is ControlReply.DONE:
-                run.stop_effective_s = trio.current_time() + self._settings.max_stop_s
-            elif reply is ControlReply.FENCED:
-                self._fencing_token.increase()
-            elif reply is ControlReply.OTHER_INCARNATION:
-                self.mark_lost("other_incarnation")
-            else:
-                await trio.sleep(self._settings.retry_s)
+        """Requests the stop of a run until one request is confirmed or the run ends.
+
+        A request is normally answered within milliseconds, and it is idempotent.
+        Therefore the next one is sent before it is certain that the last one gets no
+        reply.
+        """
+        pause_s = self._settings.retry_s
+        async with trio.open_nursery() as nursery:
+            while not run.stop_settled.is_set():
+                if len(nursery.child_tasks) < _MAX_STOPS_IN_FLIGHT:
+                    nursery.start_soon(self._request_stop, run)
+                with trio.move_on_after(pause_s):
+                    await run.stop_settled.wait()
+                pause_s = min(
+                    pause_s * _STOP_PAUSE_GROWTH, self._settings.max_stop_pause_s
+                )
+            nursery.cancel_scope.cancel()
+
+    async def _request_stop(self, run: _Run) -> None:
+        run.stop_requests += 1
+        fencing_token = self._fencing_token.value
+        reply = await self._client.stop(run.key, fencing_token)
+        if reply is ControlReply.DONE:
+            run.stop_effective_s = trio.current_time() + self._settings.max_stop_s
+            run.stop_settled.set()
+        elif reply is ControlReply.FENCED:
+            self._fencing_token.increase_past(fencing_token)
+        elif reply is ControlReply.OTHER_INCARNATION:
+            self.mark_lost("other_incarnation")
 
     # The lease.
 
--- a/gooseberrylink/standins/leased_backend.py
+++ b/gooseberrylink/standins/leased_backend.py
@@ -1,7 +1,9 @@
 """Fakes a backend server that runs tasks under a lease, and logs every run."""
 
 import dataclasses
+import functools
 import math
+import random
 from collections.abc import Callable
 from typing import Any
 
@@ -20,6 +22,8 @@
 # Time after which a request without a reply is reported as UNANSWERED.
 _REPLY_TIMEOUT_S = 0.25
 _POLL_INTERVAL_S = 0.005
+# Bounds of the delay after which a late request is executed.
+_LATE_REQUEST_DELAY_S = (2.0, 12.0)
 
 
 @dataclasses.dataclass(slots=True)
@@ -57,6 +61,10 @@
         is_unresponsive: Whether requests get no reply and have no effect.
         execution_delay_s: If greater than 0, requests get no reply but are executed
             after this delay.
+        late_share: Share of the requests, drawn at random, that get no reply but are
+            executed seconds later.
+        counts_lease_from_arrival: Whether a late request grants its lease from the
+            time of its execution, instead of until the requested end.
         is_hung: Whether runs make no progress.
         slowdown: Factor by which runs take longer than the payload says.
         clock_drift: Share by which its clock runs slow; 0.02 is 2%.
@@ -71,6 +79,7 @@
         nursery: trio.Nursery,
         capacity_units: int = 8,
         clock_drift: float = 0.02,
+        seed: int = 0,
     ):
         self.name = name
         self.capacity_units = capacity_units
@@ -79,11 +88,14 @@
         self.peak_units = 0
         self.is_unresponsive = False
         self.execution_delay_s = 0.0
+        self.late_share = 0.0
+        self.counts_lease_from_arrival = False
         self.is_hung = False
         self.slowdown = 1.0
         self.fencing_token = 0
         self.born_ms = 1_000_000
         self._nursery = nursery
+        self._rng = random.Random(f"{name} {seed}")
         self._running: dict[RunKey, RecordedRun] = {}
         self._progress_s: dict[RunKey, float] = {}
         self._highest_attempts: dict[str, int] = {}
@@ -124,23 +136,33 @@
         self, key: RunKey, payload: Any, lease_end_ms: int, fencing_token: int
     ) -> StartReply:
         """See RunClient."""
-        request = lambda: self._start(key, payload, lease_end_ms, fencing_token)  # noqa: E731
-        return await self._execute(request, StartReply.UNANSWERED)
+        sent_ms = self.clock_ms()
+
+        def execute(is_late: bool) -> StartReply:
+            end_ms = self._granted_lease_end_ms(lease_end_ms, sent_ms, is_late)
+            return self._start(key, payload, end_ms, fencing_token)
+
+        return await self._execute(execute, StartReply.UNANSWERED)
 
     async def stop(self, key: RunKey, fencing_token: int) -> ControlReply:
         """See RunClient."""
-        request = lambda: self._stop(key, fencing_token)  # noqa: E731
-        return await self._execute(request, ControlReply.UNANSWERED)
+        return await self._execute(
+            lambda is_late: self._stop(key, fencing_token), ControlReply.UNANSWERED
+        )
 
     async def renew(self, renewal: LeaseRenewal) -> RunReport | ControlReply:
         """See RunClient."""
-        if self.is_unresponsive or self.execution_delay_s:
-            return await self._execute(
-                lambda: self._renew(renewal), ControlReply.UNANSWERED
-            )
-        if not self._accept_fencing_token(renewal.fencing_token):
-            return ControlReply.FENCED
-        self._renew(renewal)
+        sent_ms = self.clock_ms()
+
+        def execute(is_late: bool) -> ControlReply:
+            end_ms = renewal.lease_end_ms
+            if end_ms is not None:
+                end_ms = self._granted_lease_end_ms(end_ms, sent_ms, is_late)
+            return self._renew(renewal, end_ms)
+
+        reply = await self._execute(execute, ControlReply.UNANSWERED, reply_delay_s=0)
+        if reply is not ControlReply.DONE:
+            return reply
         with trio.move_on_after(renewal.wait_s):
             while not self._unacknowledged_ends:
                 await trio.sleep(_POLL_INTERVAL_S)
@@ -151,18 +173,47 @@
         ends = list(self._unacknowledged_ends)
         return RunReport(self.clock_ms(), progress, ends, True, self.born_ms)
 
-    async def _execute(self, request: Callable[[], Any], timeout_reply: Any) -> Any:
-        if self.is_unresponsive:
-            await trio.sleep(_REPLY_TIMEOUT_S)
-            return timeout_reply
-        if self.execution_delay_s:
+    def _granted_lease_end_ms(
+        self, lease_end_ms: int, sent_ms: int, is_late: bool
+    ) -> int:
+        if is_late and self.counts_lease_from_arrival:
+            return lease_end_ms + self.clock_ms() - sent_ms
+        return lease_end_ms
+
+    async def _execute(
+        self,
+        request: Callable[[bool], Any],
+        timeout_reply: Any,
+        reply_delay_s: float = 0.001,
+    ) -> Any:
+        """Executes a request at once, late or never.
+
+        Args:
+            request: Executes the request; its argument is whether it is late.
+            timeout_reply: Returned if the request gets no reply.
+            reply_delay_s: Delay of a request that gets a reply.
+        """
+        execution_delay_s = self._draw_execution_delay_s()
+        if execution_delay_s == 0.0:
+            await trio.sleep(reply_delay_s)
+            return request(False)
+        if execution_delay_s < math.inf:
+            late_request = functools.partial(request, True)
             self._nursery.start_soon(
-                self._execute_later, request, self.execution_delay_s
+                self._execute_later, late_request, execution_delay_s
             )
-            await trio.sleep(_REPLY_TIMEOUT_S)
-            return timeout_reply
-        await trio.sleep(0.001)
-        return request()
+        await trio.sleep(_REPLY_TIMEOUT_S)
+        return timeout_reply
+
+    def _draw_execution_delay_s(self) -> float:
+        """Returns 0 if the request gets a reply, infinity if it has no effect."""
+        if self.is_unresponsive:
+            return math.inf
+        if self.execution_delay_s:
+            return self.execution_delay_s
+        if self.late_share and self._rng.random() < self.late_share:
+            return self._rng.uniform(*_LATE_REQUEST_DELAY_S)
+        return 0.0
 
     async def _execute_later(
         self, request: Callable[[], Any], execution_delay_s: float
@@ -175,13 +226,14 @@
     ) -> StartReply:
         if not self._accept_fencing_token(fencing_token):
             return StartReply.FENCED
+        # A start extends the lease of all runs, even if its own run is refused.
+        self._lease_end_ms = max(self._lease_end_ms, lease_end_ms)
         if key in self._running:
             return StartReply.STARTED
         if key.attempt <= self._highest_attempts.get(key.name, 0):
             return StartReply.SUPERSEDED
         if lease_end_ms < self.clock_ms():
             return StartReply.LATE
-        self._lease_end_ms = max(self._lease_end_ms, lease_end_ms)
         run = RecordedRun(
             key,
             self.name,
@@ -206,16 +258,17 @@
             self._end(key, EndKind.STOPPED)
         return ControlReply.DONE
 
-    def _renew(self, renewal: LeaseRenewal) -> None:
+    def _renew(self, renewal: LeaseRenewal, lease_end_ms: int | None) -> ControlReply:
         if not self._accept_fencing_token(renewal.fencing_token):
-            return
-        if renewal.lease_end_ms is not None:
-            self._lease_end_ms = max(self._lease_end_ms, renewal.lease_end_ms)
+            return ControlReply.FENCED
+        if lease_end_ms is not None:
+            self._lease_end_ms = max(self._lease_end_ms, lease_end_ms)
         self._unacknowledged_ends = [
             end
             for end in self._unacknowledged_ends
             if end.number > renewal.last_end_number
         ]
+        return ControlReply.DONE
 
     def _end(self, key: RunKey, end_kind: EndKind) -> None:
         run = self._running.pop(key)
--- /dev/null
+++ b/tests/test_late_orders.py
@@ -0,0 +1,79 @@
+"""Workers that leave a share of their orders without a reply and execute them late."""
+
+import pytest
+import trio
+
+from gooseberrylink.platform.common import link_settings
+from gooseberrylink.resources import Resources
+from gooseberrylink.standins.leased_backend import (
+    FakeLeasedBackend,
+    find_tasks_with_overlapping_runs,
+)
+from gooseberrylink.types import JobRequest, RerunPolicy, TaskSpec
+
+# Time after which a caller resubmits a job whose connection broke.
+RESUBMIT_AFTER_S = 1.3
+# Time after which no late request is left.
+LATE_REQUESTS_S = 12.0
+
+
+def make_job(label: str, run_s: float, task_count: int = 6) -> JobRequest:
+    tasks = [
+        TaskSpec({"name": f"{label}.{index}", "run_s": run_s}, run_s, Resources(1))
+        for index in range(task_count)
+    ]
+    return JobRequest(
+        "shops", "dispatch", tasks, 10.0, job_id=label, rerun_policy=RerunPolicy(3)
+    )
+
+
+@pytest.fixture
+def run_with_late_orders(run_on_deployment):
+    """Returns a function that runs a test on two entries and three workers."""
+
+    def run(test, seed: int):
+        async def main(deployment):
+            async with trio.open_nursery() as nursery:
+                for number in range(2):
+                    await deployment.add_entry(f"entry-{number}", **link_settings())
+                workers = []
+                for number in range(3):
+                    worker = FakeLeasedBackend(f"tank-{number}", nursery, seed=seed)
+                    nursery.start_soon(worker.advance_runs)
+                    workers.append(worker)
+                    await deployment.add_agent_with_leases(worker, **link_settings())
+                await deployment.wait_connected()
+                await test(deployment, workers)
+                nursery.cancel_scope.cancel()
+
+        run_on_deployment(main, seed)
+
+    return run
+
+
+async def submit_and_discard_answer(entry, job) -> None:
+    await entry.submit(job)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_lost_stop_requests_leave_no_run_when_the_job_is_sent_again(
+    run_with_late_orders, seed
+):
+    async def test(deployment, workers):
+        first, second = deployment.entries
+        deployment.start_soon(
+            lambda: submit_and_discard_answer(first, make_job("a", 4.0))
+        )
+        await trio.sleep(0.3)
+        assert sum(len(worker.runs) for worker in workers) == 6
+        for worker in workers:
+            worker.late_share = 0.5
+        await deployment.kill_entry(first)
+        await trio.sleep(RESUBMIT_AFTER_S)
+        deployment.start_soon(
+            lambda: submit_and_discard_answer(second, make_job("a", 0.2))
+        )
+        await trio.sleep(LATE_REQUESTS_S)
+        assert find_tasks_with_overlapping_runs(workers) == []
+
+    run_with_late_orders(test, seed)
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -323,6 +323,55 @@
     run_leased(test)
 
 
+def test_stop_requests_of_a_silent_backend_server_are_bounded_and_end_with_the_run(
+    run_leased,
+):
+    async def test(backend_server, client, nursery):
+        await wait_until_open(client)
+        in_flight = [0]
+
+        async def stop(*_):
+            in_flight.append(in_flight[-1] + 1)
+            try:
+                await trio.sleep_forever()
+            finally:
+                in_flight.append(in_flight[-1] - 1)
+
+        backend_server.stop = stop
+        nursery.start_soon(run_task, client, "a", 9.0)
+        await trio.sleep(0.1)
+        client.stop("id-a")
+        await trio.sleep(2.0)
+        assert 1 < max(in_flight) <= 8
+        client.mark_lost("other_incarnation")
+        await trio.sleep(0.1)
+        assert in_flight[-1] == 0
+
+    run_leased(test)
+
+
+def test_fenced_stop_requests_in_flight_raise_the_token_once(run_leased):
+    async def test(backend_server, client, nursery):
+        await wait_until_open(client)
+        nursery.start_soon(run_task, client, "a", 9.0)
+        await trio.sleep(0.1)
+        execute = backend_server.stop
+
+        async def stop_slowly(key, fencing_token):
+            await trio.sleep(0.2)
+            return await execute(key, fencing_token)
+
+        backend_server.stop = stop_slowly
+        client.stop("id-a")
+        await trio.sleep(0.1)
+        backend_server.fencing_token = 10
+        await trio.sleep(0.5)
+        assert backend_server.runs[0].ended_s < trio.current_time()
+        assert backend_server.fencing_token <= 5 + 60_000
+
+    run_leased(test)
+
+
 class BackendWithLateOrders(FakeLeasedBackend):
     """Executes each n-th start request only seconds later, without a reply.
 
