Fence requests for a lease that got no reply

Cause: a renewal or a start without a reply may be executed seconds later, and its lease may count from then. It extends the lease of all runs on the worker. The agent computed the end of the lease from the time of its last request.

Why the fix works: after a request with a lease got no reply, later requests carry a fencing token that is higher by 1. Once the worker has replied to any of them, it does nothing for the earlier one. A start that was in flight with the former token may be refused; it is repeated with the present one, up to five times in all, and the token is raised by the large increment only if the refused token was the present one. The token rises at most once for each token value sent, so it stays far below the next incarnation's, which is the Unix time in milliseconds.

The module's doc comment states what is still assumed about requests that were sent shortly before a worker falls silent.

Ruled out: never ending the runs of a silent worker while a request for a lease is without a reply. There nearly always is one, as a renewal is in flight when a worker falls silent, so the runs of a lost worker would never be started again.

--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -12,6 +12,15 @@
 - if another incarnation of the backend server has replaced the one that received
   the start request, or
 - if the run has started and the last lease has certainly ended.
+
+The lease of a request that is executed late may count from its execution, and extends
+that of all runs. Therefore the fencing token is increased when a request with a lease
+got no reply: once the backend server has replied to a request with the higher token,
+the earlier one can have no effect any more. What remains is an assumption about the
+requests with a lease that were sent shortly before a backend server falls silent: each
+is executed either while the lease that it asks for, counted from its sending, has not
+ended, and extends the lease no further than that; or after the last lease has ended,
+when no run is left that it could extend.
 """
 
 import dataclasses
@@ -31,12 +40,14 @@
 MAX_CLOCK_DRIFT = 0.02
 # Less than the longest lease that the platform grants, which is 1 s.
 LEASE_S = 0.9
-# Fencing tokens are Unix times in milliseconds. The increment doubles each time, so
-# that a few suffice after the clock was set back by an hour.
+# Fencing tokens are Unix times in milliseconds. For each refused one the increment
+# doubles, so that a few suffice after the clock was set back by an hour.
 _FENCING_TOKEN_INCREMENT_MS = 60_000
 # Load pattern: a share of the orders to sound backend servers gets no reply. This many
 # starts in a row without a reply are no evidence against a backend server.
 _MAX_LOST_STARTS = 2
+# Bound of the requests to start one run, each with a higher token than the last.
+_MAX_START_REQUESTS = 5
 # Bound of the requests in flight to stop one run.
 _MAX_STOPS_IN_FLIGHT = 8
 # Factor by which the pause before the next request to stop a run grows, so that a
@@ -112,6 +123,14 @@
     value: int
     _increment_ms: int = _FENCING_TOKEN_INCREMENT_MS
 
+    def fence(self, sent_value: int) -> None:
+        """Makes the value higher than that of a request without a reply.
+
+        It increases by 1 only: the next incarnation of the agent, whose token is the
+        Unix time, must have a higher one.
+        """
+        self.value = max(self.value, sent_value + 1)
+
     def increase_past(self, refused_value: int) -> None:
         """Increases the value unless that was done since the refused request."""
         if self.value == refused_value:
@@ -416,18 +435,21 @@
         return self._outcome(run)
 
     async def _start(self, run: _Run, payload: Any) -> StartReply:
-        """Requests the start, a second time with a higher token if it was fenced."""
-        for _ in range(2):
+        """Requests the start, again with the present token if it was fenced.
+
+        The token may have been increased while the request was in flight.
+        """
+        for _ in range(_MAX_START_REQUESTS):
             self._record_lease_end()
+            fencing_token = self._fencing_token.value
             reply = await self._client.start(
-                run.key,
-                payload,
-                self._next_lease_end_ms(),
-                self._fencing_token.value,
+                run.key, payload, self._next_lease_end_ms(), fencing_token
             )
+            if reply is StartReply.UNANSWERED:
+                self._fencing_token.fence(fencing_token)
             if reply is not StartReply.FENCED:
                 return reply
-            self._fencing_token.increase()
+            self._fencing_token.increase_past(fencing_token)
         return reply
 
     def _outcome(self, run: _Run) -> BackendOutcome:
@@ -523,7 +545,9 @@
         self._is_responsive = False
         self._metrics.add("renewals_failed", report.value)
         if report is ControlReply.FENCED:
-            self._fencing_token.increase()
+            self._fencing_token.increase_past(renewal.fencing_token)
+        elif report is ControlReply.UNANSWERED and lease_end_ms is not None:
+            self._fencing_token.fence(renewal.fencing_token)
         elif report is ControlReply.OTHER_INCARNATION:
             self.mark_lost("other_incarnation")
         self._end_lapsed()
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -1,8 +1,16 @@
 """Workers that leave a share of their orders without a reply and execute them late."""
 
+import math
+
 import pytest
 import trio
 
+from gooseberrylink.backends.leased import (
+    EndKind,
+    LeasedBackendClient,
+    LeaseSettings,
+)
+from gooseberrylink.metrics import Metrics
 from gooseberrylink.platform.common import link_settings
 from gooseberrylink.resources import Resources
 from gooseberrylink.standins.leased_backend import (
@@ -77,3 +85,46 @@
         assert find_tasks_with_overlapping_runs(workers) == []
 
     run_with_late_orders(test, seed)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_late_lease_requests_do_not_extend_runs_past_their_reported_end(
+    run_on_mock_clock, seed
+):
+    async def main():
+        async with trio.open_nursery() as nursery:
+            server = FakeLeasedBackend("tank-1", nursery, seed=seed)
+            client = LeasedBackendClient(
+                server, 5, LeaseSettings(), Metrics("agent", "tank-1"), lambda: None
+            )
+            nursery.start_soon(server.advance_runs)
+            nursery.start_soon(client.run_background)
+            reported_ended_s = {}
+
+            async def run(name):
+                payload = {"name": name, "run_s": 20.0}
+                await client.run(f"id-{name}", "job", "shops", payload, 1)
+                reported_ended_s[name] = trio.current_time()
+
+            server.counts_lease_from_arrival = True
+            for phase in range(10):
+                server.late_share = 0.3
+                for number in range(10):
+                    nursery.start_soon(run, f"{phase}.{number}")
+                    await trio.sleep(0.3)
+                server.is_unresponsive = True
+                await trio.sleep(2.5)
+                server.is_unresponsive = False
+            server.late_share = 0.0
+            await trio.sleep(LATE_REQUESTS_S)
+            assert [
+                recorded.key.name
+                for recorded in server.runs
+                if recorded.ended_s > reported_ended_s.get(recorded.key.name, math.inf)
+            ] == []
+            assert any(r.end_kind is EndKind.LAPSED for r in server.runs)
+            # The next incarnation's token is higher by the elapsed milliseconds.
+            assert server.fencing_token < 5 + 100 * trio.current_time()
+            nursery.cancel_scope.cancel()
+
+    run_on_mock_clock(main, seed)
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -372,6 +372,30 @@
     run_leased(test)
 
 
+def test_start_in_flight_while_the_token_rises_is_repeated_with_the_present_one(
+    run_leased,
+):
+    async def test(backend_server, client, nursery):
+        await wait_until_open(client)
+        execute = backend_server.start
+
+        async def start(key, payload, lease_end_ms, fencing_token):
+            if key.name == "lost":
+                await trio.sleep(0.05)
+                return StartReply.UNANSWERED
+            if fencing_token == 5:
+                await trio.sleep(0.2)
+            return await execute(key, payload, lease_end_ms, fencing_token)
+
+        backend_server.start = start
+        nursery.start_soon(run_task, client, "lost")
+        outcome = await run_task(client, "slow")
+        assert outcome.status is Status.DONE
+        assert backend_server.fencing_token == 6
+
+    run_leased(test)
+
+
 class BackendWithLateOrders(FakeLeasedBackend):
     """Executes each n-th start request only seconds later, without a reply.
 
