Log the revocations of withdrawn jobs, and which are repeated

When a job is withdrawn, the logs of its entry did not tell which of its tasks were revoked at which worker, nor whether a link to the agent was open at that moment, so a lost revocation looked like one that arrived. tasks_revoked now says both, one line for each worker of the job; the numbers of at most 16 tasks are listed. revocation_repeated says that an agent reconnected while tasks of withdrawn jobs had no result; it names at most 8 jobs. Behaviour is the same.

--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -37,6 +37,8 @@
 # A queue that is not empty for longer is stalled: most tasks are shorter than this, so
 # their results would have freed slots by then.
 _QUEUE_STALLED_S = 1.0
+# Tasks whose numbers one log line lists.
+_MAX_LOGGED_TASKS = 16
 
 
 class Dispatcher:
@@ -193,17 +195,23 @@
         if self.jobs.pop(job.job_id, None) is None:
             return
         pool = self.pool(job.request.service)
-        by_worker: dict[str, list[str]] = {}
+        by_worker: dict[str, list[Task]] = {}
         for task in job.tasks:
             if task.state is TaskState.QUEUED:
                 pool.queue.drop(task)
                 self._metrics.add("tasks_dropped", "job_ended")
             elif task.state is TaskState.ASSIGNED:
-                by_worker.setdefault(task.worker, []).append(task.assignment_id)
+                by_worker.setdefault(task.worker, []).append(task)
         for peer in pool.peers:
-            if peer.worker in by_worker:
+            tasks = by_worker.get(peer.worker)
+            if tasks:
                 stop_running = job.request.rerun_policy is not None
-                peer.revoke(by_worker[peer.worker], stop_running)
+                _log_revocation(peer, job, tasks, stop_running)
+                peer.revoke([task.assignment_id for task in tasks], stop_running)
+
+    def is_withdrawn(self, job: Job) -> bool:
+        """Returns whether no task of an admitted job is to run any more."""
+        return job.job_id not in self.jobs
 
     # Events from agents.
 
@@ -567,6 +575,21 @@
             self._requeue(task)
 
 
+def _log_revocation(
+    peer: AgentPeer, job: Job, tasks: list[Task], stop_running: bool
+) -> None:
+    log_event(
+        "tasks_revoked",
+        "DEBUG" if job.request.latency_target is None else "INFO",
+        job=job.request.job_id or job.job_id,
+        worker=peer.worker,
+        count=len(tasks),
+        tasks=",".join(str(task.index) for task in tasks[:_MAX_LOGGED_TASKS]),
+        stop_running=stop_running,
+        connected=peer.is_connected,
+    )
+
+
 def _describe_progress(job: Job) -> str:
     done = sum(task.state is TaskState.DONE for task in job.tasks)
     return (
--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -31,6 +31,8 @@
     from gooseberrylink.entry import Entry
 
 _MAX_PENDING_ACKS = 64
+# Jobs that one log line names.
+_MAX_LOGGED_JOBS = 8
 # A slow worker gets no tasks and so reports no new speed. Once its last report is
 # older than this, the worker is tried again.
 _SPEED_VALID_S = 2.0
@@ -235,9 +237,29 @@
             # The agent may not have received the assignments in flight on the old
             # link. It answers each revocation with the task's status, and never
             # starts a revoked task that it has not started yet.
+            self._log_withdrawn_tasks()
             self.outbox.put(Revoke(list(self.tasks_in_flight)))
         self._entry.handle_agent_connected(self, hello)
 
+    def _log_withdrawn_tasks(self) -> None:
+        """Logs which jobs were withdrawn and may still have tasks at the agent."""
+        tasks = [
+            task
+            for task in self.tasks_in_flight.values()
+            if self._entry.dispatcher.is_withdrawn(task.job)
+        ]
+        if tasks:
+            jobs = sorted(
+                {task.job.request.job_id or task.job.job_id for task in tasks}
+            )
+            log_event(
+                "revocation_repeated",
+                worker=self.worker,
+                count=len(tasks),
+                jobs=",".join(jobs[:_MAX_LOGGED_JOBS]),
+                stop_running=False,
+            )
+
     def _end_session(self) -> None:
         self._session = None
         self.advertised_demand = 0
