Stop runs of withdrawn jobs when their agent reconnects

A caller disconnected while the links of its entry were down for a moment, and submitted the job again at another entry 1.3 s later. Each task was then started a second time while its first run went on to its end.

Cause: AgentPeer.revoke() dropped the revocation if no link was open, and one that was in the outbox or in transit when the link closed was lost. On reconnection the entry revoked its tasks in flight without stop_running, so the agent answered RUNNING and stopped nothing. The frames of the entry renewed its lease, so the run did not end with the lease either.

Evidence, on the code before:

test_job_whose_revocation_was_lost_runs_once_at_a_time[close_links-0.0-] assert find_tasks_with_overlapping_runs(workers) == [] AssertionError: assert ['a.2', 'a.1'... 'a.5', 'a.4'] == []

33 of the 63 cases of test_withdrawn_jobs.py fail there: links lost up to 0.4 s before the withdrawal, at the same time, one replaced before the entry notices; the caller disconnects or cancels, the job expires or fails. All 63 pass now.

Why the fix works: a task stays in tasks_in_flight until its final result, whatever its link does. Each new link starts with the revocation of all of them, now with stop_running for those whose job was withdrawn and allows reruns. Frames on a link arrive in order or not at all, so the last wish of the entry either arrived on the link on which it was sent, or is repeated on the next one. An agent that can't be reached stops the tasks when the lease ends. Tasks of jobs without a rerun policy are still not stopped, and their test passes on both.

Ruled out: sending the revocation again when RUNNING arrives for a withdrawn job. It is only needed if the last revocation on a link lacked stop_running, and a later withdrawal on the same link sends its own.

--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -209,9 +209,10 @@
                 _log_revocation(peer, job, tasks, stop_running)
                 peer.revoke([task.assignment_id for task in tasks], stop_running)
 
-    def is_withdrawn(self, job: Job) -> bool:
-        """Returns whether no task of an admitted job is to run any more."""
-        return job.job_id not in self.jobs
+    def is_to_be_stopped(self, task: Task) -> bool:
+        """Returns whether a task is to be stopped if it is running."""
+        job = task.job
+        return job.job_id not in self.jobs and job.request.rerun_policy is not None
 
     # Events from agents.
 
--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -234,31 +234,35 @@
             tasks_in_flight=len(self.tasks_in_flight),
         )
         if self.tasks_in_flight:
-            # The agent may not have received the assignments in flight on the old
-            # link. It answers each revocation with the task's status, and never
-            # starts a revoked task that it has not started yet.
-            self._log_withdrawn_tasks()
-            self.outbox.put(Revoke(list(self.tasks_in_flight)))
+            self._repeat_revocations()
         self._entry.handle_agent_connected(self, hello)
 
-    def _log_withdrawn_tasks(self) -> None:
-        """Logs which jobs were withdrawn and may still have tasks at the agent."""
-        tasks = [
-            task
-            for task in self.tasks_in_flight.values()
-            if self._entry.dispatcher.is_withdrawn(task.job)
-        ]
-        if tasks:
-            jobs = sorted(
-                {task.job.request.job_id or task.job.job_id for task in tasks}
-            )
+    def _repeat_revocations(self) -> None:
+        """Revokes all tasks in flight, and stops those of withdrawn jobs.
+
+        The agent may not have received the assignments and revocations that were in
+        transit on the old link. It answers each revocation with the task's status, and
+        never starts a revoked task that it has not started yet.
+        """
+        unstopped_ids: list[str] = []
+        stopped_tasks: list[Task] = []
+        for task in self.tasks_in_flight.values():
+            if self._entry.dispatcher.is_to_be_stopped(task):
+                stopped_tasks.append(task)
+            else:
+                unstopped_ids.append(task.assignment_id)
+        if unstopped_ids:
+            self.outbox.put(Revoke(unstopped_ids))
+        if stopped_tasks:
+            jobs = {t.job.request.job_id or t.job.job_id for t in stopped_tasks}
             log_event(
                 "revocation_repeated",
                 worker=self.worker,
-                count=len(tasks),
-                jobs=",".join(jobs[:_MAX_LOGGED_JOBS]),
-                stop_running=False,
+                count=len(stopped_tasks),
+                jobs=",".join(sorted(jobs)[:_MAX_LOGGED_JOBS]),
             )
+            ids = [task.assignment_id for task in stopped_tasks]
+            self.outbox.put(Revoke(ids, stop_running=True))
 
     def _end_session(self) -> None:
         self._session = None
