Don't repeat a fenced start of a run that is stopped or counts as lost

What callers saw: a run that was reported as ended could start afterwards, beside the next run of its task.

Cause: after a restart of the worker, runs whose start has no reply yet end as lost when the first report with a higher fencing token does not list them. A start that was refused for the former token was repeated with the present one all the same. Likewise, a fenced start was repeated for a run that was being stopped.

Evidence: the two new tests, run on the code before:

AssertionError: assert [RecordedRun(...: 'stopped'>)] == [] assert all(run.ended_s <= reported_ended_s for run in backend_server.runs) AssertionError: assert False

Why the fix works: the conclusion "lost" rests on the former token. Without a repetition, no request of this run carries a higher one. A refusal for the token means that the worker did nothing, so the run is reported as not started.

--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -437,7 +437,9 @@
     async def _start(self, run: _Run, payload: Any) -> StartReply:
         """Requests the start, again with the present token if it was fenced.
 
-        The token may have been increased while the request was in flight.
+        The token may have been increased while the request was in flight. Nothing is
+        repeated for a run that is being stopped, or that a restart of the backend
+        server is taken to have ended.
         """
         for _ in range(_MAX_START_REQUESTS):
             self._record_lease_end()
@@ -450,6 +452,8 @@
             if reply is not StartReply.FENCED:
                 return reply
             self._fencing_token.increase_past(fencing_token)
+            if run.is_stopping or run.stop_effective_s is not None:
+                break
         return reply
 
     def _outcome(self, run: _Run) -> BackendOutcome:
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -396,6 +396,56 @@
     run_leased(test)
 
 
+def test_fenced_start_is_not_repeated_for_a_run_that_is_being_stopped(run_leased):
+    async def test(backend_server, client, nursery):
+        await wait_until_open(client)
+        execute = backend_server.start
+
+        async def start(key, payload, lease_end_ms, fencing_token):
+            if fencing_token == 5:
+                await trio.sleep(0.1)
+                return StartReply.FENCED
+            return await execute(key, payload, lease_end_ms, fencing_token)
+
+        backend_server.start = start
+        nursery.start_soon(run_task, client)
+        await trio.sleep(0.05)
+        backend_server.execution_delay_s = 0.5
+        client.stop("id-a")
+        await trio.sleep(0.04)
+        backend_server.execution_delay_s = 0.0
+        await trio.sleep(1.0)
+        assert backend_server.runs == []
+
+    run_leased(test)
+
+
+def test_fenced_start_is_not_repeated_after_its_run_counts_as_lost_in_a_restart(
+    run_leased,
+):
+    async def test(backend_server, client, nursery):
+        await wait_until_open(client)
+        execute = backend_server.start
+
+        async def start(key, payload, lease_end_ms, fencing_token):
+            if fencing_token == 5:
+                while backend_server.fencing_token <= 5:
+                    await trio.sleep(0.001)
+                await trio.sleep(0.1)
+            else:
+                await trio.sleep(0.22)
+            return await execute(key, payload, lease_end_ms, fencing_token)
+
+        backend_server.start = start
+        backend_server.crash()
+        await run_task(client, run_s=9.0)
+        reported_ended_s = trio.current_time()
+        await trio.sleep(1)
+        assert all(run.ended_s <= reported_ended_s for run in backend_server.runs)
+
+    run_leased(test)
+
+
 class BackendWithLateOrders(FakeLeasedBackend):
     """Executes each n-th start request only seconds later, without a reply.
 
