Don't report an unanswered start as lapsed after a restart

What callers saw: a run that was reported as ended could start seconds later, beside the next run of its task.

Cause: when a worker restarted under its id, runs whose start had no reply were recorded as started, so that they end as lost once a report does not list them. If the worker fell silent before it had replied to a request with the higher token, they ended as lapsed with the last lease, although the start could still be executed.

Evidence: the new test, run on the code before. The start is executed after 4 s, and its run was reported as ended after 1.59 s:

assert ended_s == [] AssertionError: assert [1.59] == []

Why the fix works: that such a run may have run is now kept apart from the time at which it is known to have started. Only the latter lets a run lapse.

--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -282,6 +282,8 @@
         started_s: When the agent learned that the run started; None before.
         stop_effective_s: Time from which on the run is certainly stopped or can no
             longer start; None while no stop is confirmed.
+        may_have_run: Whether it may have run at an earlier incarnation of the backend
+            server although the start has no reply.
         is_evidence: Whether a start without a reply is evidence of a fault of the
             backend server, as those before it had no reply either.
         progress: Completed fraction, 0 to 1, as last reported.
@@ -299,6 +301,7 @@
     requested_s: float
     started_s: float | None = None
     stop_effective_s: float | None = None
+    may_have_run: bool = False
     is_evidence: bool = True
     progress: float = 0.0
     progressed_s: float = math.inf
@@ -585,8 +588,8 @@
         lists those that it runs itself, and the others end as LOST because it does
         not list them. A start request without a reply may have been executed before
         the restart, or may still be executed until the backend server has seen a
-        higher fencing token. Therefore its run is treated as started and stopped,
-        and ends as LOST if it is not listed.
+        higher fencing token. Therefore its run ends as LOST if a report requested with
+        that token does not list it, and not before.
         """
         log_event("backend_restarted", born_ms=born_ms, runs=len(self._runs))
         self._last_end_number = 0
@@ -594,7 +597,8 @@
         self._fencing_token.increase()
         for run in list(self._runs.values()):
             if run.started_s is None:
-                run.started_s = run.stop_effective_s = self._last_reply_s
+                run.may_have_run = True
+                run.stop_effective_s = self._last_reply_s
 
     def _update_progress(self, report: RunReport) -> int:
         """Updates the progress of runs, and stops runs that this agent did not start.
@@ -663,7 +667,7 @@
                 run.stop_effective_s is not None
                 and report_requested_s > run.stop_effective_s
             ):
-                has_started = run.started_s is not None
+                has_started = run.started_s is not None or run.may_have_run
                 self._finish(
                     run, EndKind.LOST if has_started else EndKind.NEVER_STARTED
                 )
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -446,6 +446,38 @@
     run_leased(test)
 
 
+def test_unanswered_start_does_not_lapse_after_a_restart(run_leased):
+    async def test(backend_server, client, nursery):
+        await wait_until_open(client)
+        renew = backend_server.renew
+        born_ms = backend_server.born_ms
+
+        async def fall_silent_after_the_restart_is_reported(renewal):
+            report = await renew(renewal)
+            backend_server.is_unresponsive |= backend_server.born_ms > born_ms
+            return report
+
+        backend_server.renew = fall_silent_after_the_restart_is_reported
+        ended_s = []
+
+        async def run():
+            await run_task(client, run_s=9.0)
+            ended_s.append(trio.current_time())
+
+        await trio.sleep(0.3)
+        backend_server.counts_lease_from_arrival = True
+        backend_server.execution_delay_s = 4.0
+        nursery.start_soon(run)
+        await trio.sleep(0.01)
+        backend_server.execution_delay_s = 0.0
+        backend_server.crash()
+        await trio.sleep(4.5)
+        assert len(backend_server.runs) == 1
+        assert ended_s == []
+
+    run_leased(test)
+
+
 class BackendWithLateOrders(FakeLeasedBackend):
     """Executes each n-th start request only seconds later, without a reply.
 
