Request a stop again after the backend server restarted

What callers saw: a task could run on although its stop was confirmed, and beside the next run of its task after the job was sent again.

Cause: a worker that restarts under its id knows of no earlier stop, and may execute an unanswered start that it received before. The agent sent no stop request after the first confirmation, nor after the restart.

Evidence: the new test, run on the code before; the run went on:

assert backend_server.runs[0].ended_s < trio.current_time() AssertionError: assert inf < 1.31

Why the fix works: when the agent learns of the restart, it requests the stop of each run again whose stop was confirmed before and whose end is not known.

--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -599,6 +599,10 @@
             if run.started_s is None:
                 run.may_have_run = True
                 run.stop_effective_s = self._last_reply_s
+            if run.is_stopping and run.stop_settled.is_set() and run.end is None:
+                # The new incarnation does not know of the stop.
+                run.stop_settled = trio.Event()
+                self._nursery.start_soon(self._stop, run)
 
     def _update_progress(self, report: RunReport) -> int:
         """Updates the progress of runs, and stops runs that this agent did not start.
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -478,6 +478,22 @@
     run_leased(test)
 
 
+def test_stop_confirmed_before_a_restart_is_requested_again(run_leased):
+    async def test(backend_server, client, nursery):
+        await wait_until_open(client)
+        backend_server.execution_delay_s = 0.32
+        nursery.start_soon(run_task, client, "a", 9.0)
+        await trio.sleep(0.01)
+        backend_server.execution_delay_s = 0.0
+        await trio.sleep(0.29)
+        backend_server.crash()
+        await trio.sleep(1.0)
+        assert len(backend_server.runs) == 1
+        assert backend_server.runs[0].ended_s < trio.current_time()
+
+    run_leased(test)
+
+
 class BackendWithLateOrders(FakeLeasedBackend):
     """Executes each n-th start request only seconds later, without a reply.
 
