Check the times of a task again when its start is requested

Cause: an agent checked the start deadline and the entry's lease, and left the request itself to a task of its own. Several assignments were also checked against one reading of the clock. If the process was suspended in between, the start was requested with a fresh lease, although the entry could have assigned the task elsewhere. Where suspended time was not counted, the lease in the request was in the past by chance; with a freeze it never was.

Evidence, test_agent_suspended_after_it_allowed_a_start_does_not_request_it on:

assert deployment.count_starts_by_task() == {} E AssertionError: assert Counter({'56b...7386-1-0': 1}) == {}

Both times are now checked with a new reading of the clock immediately before the request; nothing yields between the check and the computation of the lease in it. A suspension between these two lines remains possible. Closing it needs a lease that is computed from the time of the check.

--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -419,11 +419,13 @@
         self._start_held(now_s)
 
     async def _run_at_backend(self, record: AssignmentRecord) -> BackendOutcome:
+        # The process may have been suspended since the task was allowed to start.
+        reason = self.assignments.reason_not_to_start(record, trio.current_time())
         if record.is_stopping:
             # The client could not stop it, because it did not know the task yet.
-            return BackendOutcome(
-                Status.NOT_STARTED, reason="revoked", is_evidence=False
-            )
+            reason = "revoked"
+        if reason is not None:
+            return BackendOutcome(Status.NOT_STARTED, reason=reason, is_evidence=False)
         assign = record.assign
         try:
             return await record.backend.run(
--- a/gooseberrylink/assignment_table.py
+++ b/gooseberrylink/assignment_table.py
@@ -149,16 +149,22 @@
         """
         if record.state is not RecordState.HELD:
             return False
-        if now_s >= record.start_deadline_s:
-            self.replace_with_tombstone(record, "expired", now_s)
-            return False
-        if now_s > self.lease_end_s(record.entry_incarnation):
-            self.replace_with_tombstone(record, "lease_lapsed", now_s)
+        reason = self.reason_not_to_start(record, now_s)
+        if reason is not None:
+            self.replace_with_tombstone(record, reason, now_s)
             return False
         record.state = RecordState.STARTED
         record.started_s = now_s
         return True
 
+    def reason_not_to_start(self, record: AssignmentRecord, now_s: float) -> str | None:
+        """Returns which time has passed after which a task may not start, if any."""
+        if now_s >= record.start_deadline_s:
+            return "expired"
+        if now_s > self.lease_end_s(record.entry_incarnation):
+            return "lease_lapsed"
+        return None
+
     def finish(self, record: AssignmentRecord, result: Result, now_s: float) -> None:
         """Stores the result of a started task until the entry acknowledges it."""
         record.state = RecordState.FINISHED
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -13,6 +13,7 @@
 from test_reruns import make_job as make_leased_job
 from test_startup import PLATFORM_SETTINGS
 
+from gooseberrylink.assignment_table import AssignmentTable
 from gooseberrylink.codes import Code
 from gooseberrylink.platform.common import run_program
 from gooseberrylink.shutdown import run_daemon
@@ -110,6 +111,31 @@
     assert daemon.slept_s[0] > SUSPENDED_S
 
 
+def test_agent_suspended_after_it_allowed_a_start_does_not_request_it(
+    run_on_deployment, make_job, monkeypatch
+):
+    try_mark_started = AssignmentTable.try_mark_started
+
+    def suspend_after_permission(self, record, now_s):
+        may_start = try_mark_started(self, record, now_s)
+        trio.lowlevel.current_clock().jump(SUSPENDED_S)
+        return may_start
+
+    monkeypatch.setattr(AssignmentTable, "try_mark_started", suspend_after_permission)
+
+    async def test(deployment):
+        entry = await deployment.add_entry("entry-1")
+        agent = await deployment.add_agent("tank-1")
+        await deployment.wait_connected()
+        answer = await entry.submit(make_job(0.1, deadline_s=2.0))
+        await trio.sleep(0.5)
+        assert deployment.count_starts_by_task() == {}
+        assert answer.code is Code.EXPIRED_NOT_RUN
+        assert agent.allocator.used_units == 0
+
+    run_on_deployment(test)
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_revocation_that_is_read_with_its_assignment_stops_the_task(
     run_on_deployment, seed
