Take an unexpected status of a start as no reply

What callers saw: a task could be reported as failed, and run again, while its first run went on.

Cause: every status of a start that the protocol does not name, a 5xx of a proxy included, counted as a rejected payload, so the run was reported as ended at once.

Evidence: the new test, run on the code before, failed for all five statuses:

AssertionError: assert <StartReply.MALFORMED: 'malformed'> is <StartReply.UNANSWERED: 'unanswered'>

Why the fix works: only 4xx says that the request was rejected. After any other status the run counts as possibly started until its stop is confirmed.

--- a/gooseberrylink/platform/run_client.py
+++ b/gooseberrylink/platform/run_client.py
@@ -156,7 +156,10 @@
             return _START_REPLY_BY_REASON.get(
                 _refusal_reason(response), StartReply.SUPERSEDED
             )
-        return StartReply.MALFORMED
+        if 400 <= response.status < 500:
+            return StartReply.MALFORMED
+        # The protocol has no such reply, so the request may have been executed.
+        return StartReply.UNANSWERED
 
     async def stop(self, key: RunKey, fencing_token: int) -> ControlReply:
         """See RunClient."""
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -153,6 +153,15 @@
     assert isinstance(run(client.stop, key, 1), ControlReply)
 
 
+@pytest.mark.parametrize("status", [202, 302, 500, 502, 504])
+def test_unexpected_status_of_a_start_does_not_show_that_it_had_no_effect(status):
+    client = PlatformRunClient("127.0.0.1:1", "i-1")
+    client._client = FakeHttpClient(status, b"")
+    key = RunKey("a.0.0.1", 1)
+    payload = TaskPayload("a.0.0.1", "x")
+    assert run(client.start, key, payload, 5, 1) is StartReply.UNANSWERED
+
+
 @pytest.mark.parametrize("rows", [[["a.0.0.1", 1]], [[]], [None], [["a", "b", "", 1]]])
 def test_short_row_of_a_lease_renewal_is_no_answer(rows):
     client = PlatformRunClient("127.0.0.1:1", "i-1")
