Let a resumed entry read its callers' disconnects before it assigns

An entry was suspended for seconds, its callers' connections broke meanwhile, and they submitted their jobs again at other entries. On resuming, the entry assigned tasks of these jobs and revoked them some milliseconds later.

Cause: after a suspension, agents' frames and callers' disconnects wait in the sockets, and the event loop handles them in any order. A frame that reports stopped runs or free units leads to assignments in the same step, while a disconnect passes through several tasks before it cancels the job. An assignment that waited in an outbox at the start of the suspension was sent with the present time, so that the agent did not refuse it as stale.

Evidence, on the code before (clock put 3 s ahead, then both are delivered):

test_resumed_entry_assigns_no_task_whose_caller_disconnected[0-report_free_units] assert (len(agents[0].assigned), agents[1].assigned) == (8, []) AssertionError: assert (8, ['...0cb635-1-11']) == (8, [])

10 of the 12 new cases fail there; the other two check that callers who waited are answered and that a shorter delay holds nothing back. All 12 pass now.

Why the fix works: the dispatcher's tick notices that it is overdue by more than lease_s; until then callers that submit again later than a lease after their connection broke can't have done so. From the first look at the clock after the suspension nothing is assigned for 15 ticks of 20 ms, in each of which the event loop reads every socket. Both ways of assigning, from the queue and of a new job, check this, and so does the sender, which puts unsent assignments back in the queue.

Not covered: disconnects that arrive more than 0.3 s after the resume, and delays of the event loop that are shorter than lease_s.

--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -20,6 +20,7 @@
 from gooseberrylink.service_pool import ServicePool
 from gooseberrylink.settings import EntrySettings
 from gooseberrylink.success_rates import CustomerSuccessRates
+from gooseberrylink.suspension import SuspensionMonitor
 from gooseberrylink.types import Answer, Job, JobRequest, Task, TaskState
 
 _MAX_RETRY_BUDGET = 50.0
@@ -27,7 +28,6 @@
 # A task that would miss its deadline even if it ran that many times as fast as
 # expected is not assigned.
 _MAX_SPEEDUP = 2.0
-_QUEUE_CHECK_INTERVAL_S = 0.05
 # Demand of a queue whose first task is due within this time is advertised even if the
 # queue is not stalled.
 _DUE_SOON_S = 0.3
@@ -81,6 +81,9 @@
         # For each agent whose link closed while it had tasks of this entry: the time
         # from which none of them can be running, because all leases have expired.
         self._leases_end_s: dict[AgentPeer, float] = {}
+        # An entry that was suspended for longer than its leases may have jobs that
+        # their callers have submitted to other entries.
+        self._suspension = SuspensionMonitor(settings.lease_s)
         self._nursery: trio.Nursery | None = None
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -91,7 +94,7 @@
             self._admission.startup_grace_ends_s = trio.current_time() + agents_back_s
             task_status.started()
             while True:
-                await trio.sleep(_QUEUE_CHECK_INTERVAL_S)
+                await self._suspension.wait_for_tick()
                 self._reclaim_tasks_with_expired_leases()
                 self._check_queues()
 
@@ -417,8 +420,14 @@
 
     # Assignment.
 
+    def is_settling(self) -> bool:
+        """Returns whether nothing may be assigned, as this entry has just resumed."""
+        return self._suspension.is_settling()
+
     def assign_queued_tasks(self, service: str) -> None:
         """Assigns queued tasks of a service as long as workers have free slots."""
+        if self.is_settling():
+            return
         pool = self.pool(service)
         while len(pool.queue) and self._assign_or_give_up_next(pool):
             pass
@@ -491,7 +500,7 @@
         At peak load the fast hosts are full, and tasks that wait for them must not
         keep slow hosts idle where the new job would be on time.
         """
-        if job.request.latency_target is None:
+        if job.request.latency_target is None or self.is_settling():
             return
         now_s = trio.current_time()
         for task in job.tasks:
--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -332,9 +332,18 @@
 
     def encode_next_frame(self, items: list[Any], is_heartbeat: bool) -> bytes:
         """See SessionOwner."""
+        if self._entry.dispatcher.is_settling():
+            items = self._take_back_assignments(items)
         self._count_frame(items, is_heartbeat)
         return encode(self._build_frame(items))
 
+    def _take_back_assignments(self, items: list[Any]) -> list[Any]:
+        """Puts the tasks of assignments back in the queue; returns the other items."""
+        assigns = [item for item in items if isinstance(item, Assign)]
+        self._units_sent -= sum(assign.resources.units for assign in assigns)
+        self.return_unsent(assigns)
+        return [item for item in items if not isinstance(item, Assign)]
+
     def _count_frame(self, items: list, is_heartbeat: bool) -> None:
         kind = "heartbeat" if is_heartbeat else "control"
         if any(isinstance(item, Assign) for item in items):
--- a/tests/test_withdrawn_jobs.py
+++ b/tests/test_withdrawn_jobs.py
@@ -1,13 +1,19 @@
-"""Tests that no run of a job is left once it is withdrawn, whatever its links do.
+"""Tests that no run of a job is left or started once it is withdrawn.
 
 A job is withdrawn when its caller disconnects or cancels it, or when it fails or
 expires. Its caller may submit it to another entry RESUBMIT_AFTER_S later, which starts
 each task again.
 """
 
+import contextlib
+
 import pytest
 import trio
+import trio.testing
 from test_reruns import (
+    ENTRY_SETTINGS,
+    LATENCY_TARGET,
+    LINK_SETTINGS,
     RESUBMIT_AFTER_S,
     make_job,
     run_deployment_with_leases,
@@ -15,7 +21,20 @@
 )
 
 from gooseberrylink.backends.leased import EndKind
+from gooseberrylink.callers.disconnects import run_until_disconnect
 from gooseberrylink.codes import Code
+from gooseberrylink.exceptions import LinkClosedError
+from gooseberrylink.peers.agent_peer import AgentPeer
+from gooseberrylink.peers.link import MemoryLink, open_memory_link
+from gooseberrylink.peers.messages import (
+    AgentFrame,
+    AgentHello,
+    Assign,
+    Result,
+    Status,
+    decode_at_agent,
+    encode,
+)
 from gooseberrylink.standins.leased_backend import find_tasks_with_overlapping_runs
 from gooseberrylink.types import Answer
 
@@ -137,3 +156,268 @@
         assert {r.end_kind for w in workers for r in w.runs} == {EndKind.DONE}
 
     run_deployment_with_leases(test)
+
+
+# An entry that is suspended, and resumes after its callers have disconnected.
+
+SUSPENSION_S = 3.0
+
+
+class ScriptedAgent:
+    """Connects to an entry, and reports what a test tells it to.
+
+    Attributes:
+        assigned: Ids of the tasks that the entry assigned, in order.
+        free_units: Units that it reports as free.
+    """
+
+    def __init__(self, nursery, entry, worker: str):
+        self.assigned: list[str] = []
+        self.free_units = 0
+        self._nursery = nursery
+        self._entry = entry
+        self._worker = worker
+        self._link: MemoryLink | None = None
+        self._units_received = 0
+        self._unfinished_ids: list[str] = []
+
+    def connect(self, incarnation: str = "1") -> None:
+        self._link, entry_end = open_memory_link()
+        self._units_received = 0
+        self._link.send(
+            encode(
+                AgentHello(
+                    self._worker,
+                    incarnation,
+                    "dc-1",
+                    "dispatch",
+                    slots=8,
+                    clock_s=trio.current_time(),
+                    entries=[],
+                )
+            )
+        )
+        self.send()
+        self._nursery.start_soon(self._entry.serve_link, entry_end)
+        self._nursery.start_soon(self._read_frames, self._link)
+
+    async def send_heartbeats(self) -> None:
+        while True:
+            await trio.sleep(LINK_SETTINGS["busy_heartbeat_s"])
+            self.send()
+
+    async def _read_frames(self, link: MemoryLink) -> None:
+        with contextlib.suppress(LinkClosedError):
+            await link.receive()
+            while True:
+                for item in decode_at_agent(await link.receive()).items:
+                    if isinstance(item, Assign):
+                        self._record_assignment(item)
+
+    def _record_assignment(self, assign: Assign) -> None:
+        self.assigned.append(assign.task_id)
+        self._unfinished_ids.append(assign.assignment_id)
+        self._units_received += assign.resources.units
+        self.free_units -= assign.resources.units
+
+    def end_tasks(self, status: Status, reason: str = "") -> None:
+        """Reports that all assigned tasks have ended."""
+        ids, self._unfinished_ids = self._unfinished_ids, []
+        self.free_units += len(ids)
+        self.send([Result(id_, status, reason=reason) for id_ in ids])
+
+    def send(self, items: list | None = None) -> None:
+        frame = AgentFrame(
+            trio.current_time(),
+            self.free_units,
+            self.free_units,
+            self._units_received,
+            slots=8,
+            service="dispatch",
+            free_memory_mb=1000,
+            items=items or [],
+        )
+        self._link.send(encode(frame))
+
+
+class Caller:
+    """Submits a job over a connection that a test can break.
+
+    Attributes:
+        answer: The answer; None before.
+    """
+
+    def __init__(self, entry):
+        self.answer: Answer | None = None
+        self._entry = entry
+        self._send, self._receive = trio.open_memory_channel(1)
+
+    async def submit(self, job) -> None:
+        receive = self._receive.receive
+        self.answer = await run_until_disconnect(self._entry, job, receive)
+
+    def disconnect(self) -> None:
+        self._send.send_nowait({"type": "http.disconnect"})
+
+
+def suspend() -> None:
+    """Advances the clock as if this process had been suspended."""
+    trio.lowlevel.current_clock().jump(SUSPENSION_S)
+
+
+@pytest.fixture
+def run_entry_with_scripted_agents(run_on_deployment):
+    """Returns a function that runs a test on an entry with two scripted agents.
+
+    The second agent has no free units.
+    """
+
+    def run(test, seed: int = 0):
+        async def main(deployment):
+            async with trio.open_nursery() as nursery:
+                entry = await deployment.add_entry(
+                    "entry-0", **ENTRY_SETTINGS, **LINK_SETTINGS
+                )
+                agents = [
+                    ScriptedAgent(nursery, entry, f"tank-{number}") for number in (1, 2)
+                ]
+                agents[0].free_units = 8
+                for agent in agents:
+                    agent.connect()
+                    nursery.start_soon(agent.send_heartbeats)
+                while not entry.is_ready:
+                    await trio.sleep(0.01)
+                await test(nursery, entry, agents)
+                nursery.cancel_scope.cancel()
+
+        run_on_deployment(main, seed)
+
+    return run
+
+
+async def wait_for_assignments(agent: ScriptedAgent, count: int) -> None:
+    with trio.fail_after(1.0):
+        while len(agent.assigned) < count:
+            await trio.sleep(0.01)
+
+
+def report_lapsed_leases(agents) -> None:
+    agents[0].end_tasks(Status.STOPPED, "lease_lapsed")
+
+
+def report_free_units(agents) -> None:
+    agents[1].free_units = 8
+    agents[1].send()
+
+
+async def disconnect_after_rounds(caller: Caller, rounds: int) -> None:
+    """Disconnects a caller after rounds of the event loop, in which no time passes."""
+    for _ in range(rounds):
+        await trio.lowlevel.checkpoint()
+    caller.disconnect()
+
+
+@pytest.mark.parametrize("report", [report_lapsed_leases, report_free_units])
+@pytest.mark.parametrize("rounds", [0, 1, 10])
+def test_resumed_entry_assigns_no_task_whose_caller_disconnected(
+    run_entry_with_scripted_agents, report, rounds
+):
+    async def test(nursery, entry, agents):
+        caller = Caller(entry)
+        # Eight tasks run at the first agent; the others are queued.
+        nursery.start_soon(caller.submit, make_job("a", *[4.0] * 12))
+        await wait_for_assignments(agents[0], 8)
+        suspend()
+        report(agents)
+        await disconnect_after_rounds(caller, rounds)
+        await trio.sleep(1.0)
+        assert (len(agents[0].assigned), agents[1].assigned) == (8, [])
+
+    run_entry_with_scripted_agents(test)
+
+
+@pytest.mark.parametrize("rounds", [1, 10])
+def test_resumed_entry_reruns_no_task_of_a_restarted_agent_too_early(
+    run_entry_with_scripted_agents, rounds
+):
+    async def test(nursery, entry, agents):
+        caller = Caller(entry)
+        nursery.start_soon(caller.submit, make_job("a", *[4.0] * 8))
+        await wait_for_assignments(agents[0], 8)
+        suspend()
+        agents[0].connect(incarnation="2")
+        report_free_units(agents)
+        await disconnect_after_rounds(caller, rounds)
+        await trio.sleep(1.0)
+        assert (len(agents[0].assigned), agents[1].assigned) == (8, [])
+
+    run_entry_with_scripted_agents(test)
+
+
+def test_resumed_entry_sends_no_assignment_from_before(
+    run_entry_with_scripted_agents, monkeypatch
+):
+    async def test(nursery, entry, agents):
+        caller = Caller(entry)
+        assign = AgentPeer.assign
+
+        def assign_and_suspend(peer, task, hints):
+            assign(peer, task, hints)
+            monkeypatch.undo()
+            suspend()
+            caller.disconnect()
+
+        monkeypatch.setattr(AgentPeer, "assign", assign_and_suspend)
+        nursery.start_soon(caller.submit, make_job("a", 4.0))
+        await trio.sleep(SUSPENSION_S + 1.0)
+        assert agents[0].assigned == []
+        # The units of the assignment that was taken back are free again.
+        nursery.start_soon(Caller(entry).submit, make_job("b", *[4.0] * 8))
+        await wait_for_assignments(agents[0], 8)
+
+    run_entry_with_scripted_agents(test)
+
+
+def test_resumed_entry_starts_no_job_whose_caller_has_left(
+    run_entry_with_scripted_agents,
+):
+    async def test(nursery, entry, agents):
+        suspend()
+        caller = Caller(entry)
+        nursery.start_soon(caller.submit, make_job("a", 4.0, **LATENCY_TARGET))
+        caller.disconnect()
+        await trio.sleep(1.0)
+        assert agents[0].assigned == []
+
+    run_entry_with_scripted_agents(test)
+
+
+def test_resumed_entry_answers_callers_that_waited(run_entry_with_scripted_agents):
+    async def test(nursery, entry, agents):
+        waiting, new = Caller(entry), Caller(entry)
+        nursery.start_soon(waiting.submit, make_job("a", *[1.0] * 8))
+        await wait_for_assignments(agents[0], 8)
+        suspend()
+        report_lapsed_leases(agents)
+        report_free_units(agents)
+        nursery.start_soon(new.submit, make_job("b", *[1.0] * 2))
+        with trio.fail_after(1.0):
+            while not (waiting.answer and new.answer):
+                await trio.sleep(0.01)
+                for agent in agents:
+                    agent.end_tasks(Status.DONE)
+        assert {waiting.answer.code, new.answer.code} == {Code.OK}
+
+    run_entry_with_scripted_agents(test)
+
+
+def test_short_delay_of_an_entry_does_not_delay_its_jobs(
+    run_entry_with_scripted_agents,
+):
+    async def test(nursery, entry, agents):
+        trio.lowlevel.current_clock().jump(0.9 * LINK_SETTINGS["lease_s"])
+        nursery.start_soon(Caller(entry).submit, make_job("a", 1.0))
+        await trio.testing.wait_all_tasks_blocked()
+        assert len(agents[0].assigned) == 1
+
+    run_entry_with_scripted_agents(test)
