Ignore a late hello of an agent's earlier incarnation

Cause: a link of an agent's earlier run may deliver its hello after the present run has connected and received tasks, for example if its first packet was lost and the agent was killed before the retransmission. The entry took any hello of another incarnation for a restart, reran all tasks in flight, and closed the good link. The runs at the present incarnation went on under its renewed lease, and the entry no longer knew them, so it never revoked them.

Evidence, on the code before:

test_late_hello_of_an_earlier_incarnation_reruns_no_running_task assert agents[1].assigned == [] AssertionError: assert ['032979dd5a2...931-1-5', ...] == []

Why the fix works: incarnations are random ids, so one that the entry has replaced by another never comes back. The entry keeps the last 16 of each agent and closes their links without any effect; the present link stays open.

Ruled out: comparing the agents' clocks in the hellos; a clock restarts with its host.

--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -1,5 +1,6 @@
 """Tracks one agent at an entry and serves its links."""
 
+import collections
 import dataclasses
 from typing import TYPE_CHECKING, Any
 
@@ -31,6 +32,7 @@
     from gooseberrylink.entry import Entry
 
 _MAX_PENDING_ACKS = 64
+_MAX_EARLIER_INCARNATIONS = 16
 # Jobs that one log line names.
 _MAX_LOGGED_JOBS = 8
 # A slow worker gets no tasks and so reports no new speed. Once its last report is
@@ -67,6 +69,9 @@
         self._entry = entry
         self.worker = worker
         self.incarnation = ""
+        self._earlier_incarnations: collections.deque[str] = collections.deque(
+            maxlen=_MAX_EARLIER_INCARNATIONS
+        )
         self.data_centre = ""
         self.service = ""
         self.slots = 0
@@ -195,7 +200,15 @@
             self.outbox.wake_sender()
 
     async def serve(self, link: Link, hello: AgentHello) -> None:
-        """Serves a new link until it closes; an earlier link is closed first."""
+        """Serves a new link until it closes; an earlier link is closed first.
+
+        A link of an earlier incarnation of the agent is closed at once. Its hello was
+        late, and does not prove that the tasks in flight have ended.
+        """
+        if hello.incarnation in self._earlier_incarnations:
+            log_event("late_hello_ignored", "WARNING", worker=self.worker)
+            link.close()
+            return
         if self._session is not None:
             self._session.link.close()
         entry = self._entry
@@ -212,6 +225,7 @@
         is_same_incarnation = hello.incarnation == self.incarnation
         if not is_same_incarnation:
             self._pending_acks.clear()
+            self._earlier_incarnations.append(self.incarnation)
             self._entry.dispatcher.handle_agent_restart(self)
         self._session = session
         self.outbox = session.outbox
--- a/tests/test_withdrawn_jobs.py
+++ b/tests/test_withdrawn_jobs.py
@@ -421,3 +421,27 @@
         assert len(agents[0].assigned) == 1
 
     run_entry_with_scripted_agents(test)
+
+
+# A hello that is late.
+
+
+def test_late_hello_of_an_earlier_incarnation_reruns_no_running_task(
+    run_entry_with_scripted_agents,
+):
+    async def test(nursery, entry, agents):
+        agents[0].connect(incarnation="2")
+        await trio.sleep(0.01)
+        caller = Caller(entry)
+        nursery.start_soon(caller.submit, make_job("a", *[4.0] * 8))
+        await wait_for_assignments(agents[0], 8)
+        report_free_units(agents)
+        late = ScriptedAgent(nursery, entry, "tank-1")
+        late.connect(incarnation="1")
+        await trio.sleep(0.1)
+        assert agents[1].assigned == []
+        agents[0].end_tasks(Status.DONE)
+        await trio.sleep(0.1)
+        assert caller.answer.code is Code.OK
+
+    run_entry_with_scripted_agents(test)
