Revoke tasks of a worker that has changed its service

Cause: a withdrawn job revoked its tasks only at the workers of its own service. A worker whose backend server had been replaced by one of another service belongs to another pool, so tasks in flight there were not revoked and ran on.

Evidence, on the code before:

test_tasks_of_a_worker_that_changed_its_service_are_stopped assert find_tasks_with_overlapping_runs(workers) == [] AssertionError: assert ['a.2', 'a.1', 'a.0', 'a.3'] == []

Why the fix works: each agent of an entry is in exactly one pool, and the agents of all pools are searched by the names of the workers of the job's tasks. A job without tasks in flight, such as any completed one, searches none.

Ruled out: revoking at the change of service. The tasks are still wanted until their job is withdrawn, and their backend server keeps running them.

--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -205,7 +205,10 @@
                 self._metrics.add("tasks_dropped", "job_ended")
             elif task.state is TaskState.ASSIGNED:
                 by_worker.setdefault(task.worker, []).append(task)
-        for peer in pool.peers:
+        if not by_worker:
+            return
+        # A worker may have changed its service since the assignment.
+        for peer in itertools.chain.from_iterable(p.peers for p in self.pools()):
             tasks = by_worker.get(peer.worker)
             if tasks:
                 stop_running = job.request.rerun_policy is not None
--- a/tests/test_withdrawn_jobs.py
+++ b/tests/test_withdrawn_jobs.py
@@ -20,6 +20,7 @@
     submit_and_discard_answer,
 )
 
+from gooseberrylink.backends.client import Announcement
 from gooseberrylink.backends.leased import EndKind
 from gooseberrylink.callers.disconnects import run_until_disconnect
 from gooseberrylink.codes import Code
@@ -158,6 +159,25 @@
     run_deployment_with_leases(test)
 
 
+def test_tasks_of_a_worker_that_changed_its_service_are_stopped(
+    run_deployment_with_leases,
+):
+    async def test(deployment, workers):
+        agent = deployment.agents["tank-1"]
+
+        async def change_service():
+            await trio.sleep(WITHDRAWN_S - 0.1)
+            agent.update_announcement(Announcement("other", "fake:1", slots=8))
+
+        deployment.start_soon(change_service)
+        with trio.move_on_after(WITHDRAWN_S):
+            await deployment.entries[0].submit(make_job("a", *[4.0] * 6))
+        assert workers[0].runs
+        await submit_again(deployment, workers)
+
+    run_deployment_with_leases(test)
+
+
 # An entry that is suspended, and resumes after its callers have disconnected.
 
 SUSPENSION_S = 3.0
