Refuse held tasks of an entry whose lease ended before it was renewed

Cause: an agent holds a task while its slots are in use, under the lease of the task's entry. The lease was checked only against its present end. If the link to the entry broke, the entry reran the task elsewhere after the time of the leases and forgot the assignment, so it did not revoke it on reconnection. The first frame on the new link renewed the lease, and the task started with the next free slot although the other run went on. The periodic check refuses such tasks only once there is a free slot.

Evidence, test_held_task_does_not_start_after_its_entry_reran_it on:

AssertionError: assert ['held.0'] == []

Why the fix works: before a frame renews a lease that has ended, the tasks that were held under it are refused for good. Running tasks need no such step: the check of leases stops them within 0.2 s, and an agent that was frozen for longer has lost its runs at the worker with their lease.

Ruled out: revoking the task again on reconnection. The entry forgets it when it reruns it, and a list of all former assignments would have no bound.

--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -281,6 +281,8 @@
     def handle_frame(self, peer: EntryPeer, frame: EntryFrame) -> None:
         """Handles a frame from an entry."""
         now_s = trio.current_time()
+        if now_s > self.assignments.lease_end_s(peer.incarnation):
+            self._refuse_held_without_lease(peer, now_s)
         self.assignments.renew_lease(peer.incarnation, frame.sent_s)
         self.allocator.update_demand(peer.incarnation, frame, now_s)
         peer.quarantined_share = frame.quarantined_share
@@ -544,6 +546,18 @@
             if now_s > self.assignments.lease_end_s(record.entry_incarnation):
                 self._stop(assignment_id, "lease_lapsed")
 
+    def _refuse_held_without_lease(self, peer: EntryPeer, now_s: float) -> None:
+        """Refuses the held tasks of an entry whose lease has ended.
+
+        The entry may have assigned them to other agents since, so they must not start
+        under a later lease either.
+        """
+        for record in self._held:
+            is_held = record.state is RecordState.HELD
+            if is_held and record.entry_incarnation == peer.incarnation:
+                self.assignments.replace_with_tombstone(record, "lease_lapsed", now_s)
+                self._refuse(peer, record.assignment_id, "lease_lapsed")
+
     def _drop_all_held(self, reason: str) -> None:
         now_s = trio.current_time()
         while self._held:
--- a/tests/test_reruns.py
+++ b/tests/test_reruns.py
@@ -443,3 +443,46 @@
         assert find_tasks_with_overlapping_runs(workers) == []
 
     run_deployment_with_leases(test, entries=1, workers=2)
+
+
+def test_held_task_does_not_start_after_its_entry_reran_it(run_on_deployment):
+    # The lease ended while the task was held, and was renewed on the next link.
+    async def test(deployment):
+        async with trio.open_nursery() as nursery:
+            for number in range(2):
+                await deployment.add_entry(
+                    f"entry-{number}", **ENTRY_SETTINGS, **LINK_SETTINGS
+                )
+            first, second = deployment.entries
+            workers = [FakeLeasedBackend(f"tank-{n}", nursery, 2) for n in (1, 2)]
+            for worker in workers:
+                worker.slowdown = 100.0
+                nursery.start_soon(worker.advance_runs)
+            agent = await deployment.add_agent_with_leases(workers[0])
+            await deployment.wait_connected()
+            await trio.sleep(0.5)
+            # The assignment of the second entry is in transit while the first one takes
+            # its credit.
+            (link,) = deployment.network.find_open_connections(
+                "tank-1", second.address_for_agents
+            )
+            link.agent_end.pause_delivery()
+            for entry, job in (
+                (second, make_job("held", 0.08, deadline_s=20.0)),
+                (first, make_job("other", 0.08, 0.08, deadline_s=20.0)),
+            ):
+                nursery.start_soon(submit_and_discard_answer, entry, job)
+            await trio.sleep(0.05)
+            link.agent_end.resume_delivery()
+            await trio.sleep(0.05)
+            assert len(agent._held) == 1
+            deployment.network.partition("tank-1", second.address_for_agents)
+            await deployment.add_agent_with_leases(workers[1])
+            await trio.sleep(3.8)
+            assert [run.key.name for run in workers[1].runs] == ["held.0"]
+            deployment.network.heal("tank-1")
+            await trio.sleep(6.0)
+            assert find_tasks_with_overlapping_runs(workers) == []
+            nursery.cancel_scope.cancel()
+
+    run_on_deployment(test)
