End the runs of a backend server that returns at another address

Cause: when a backend server restarted under its id at another address, its former client was only closed. A run whose start had no reply can end only by a reply of the server, and none comes from the former address. The client also went on sending requests there.

Evidence, test_unanswered_start_ends_when_its_backend_returns_at_another_address on:

AssertionError: assert not True (has_runs, 5 s after the return)

An id is used again only by a process that was restarted, so a newer incarnation with the same id shows that the runs of the former one have ended, as one at the same address does. A server with another id at another address shows nothing of the kind; that case remains open.

--- a/gooseberrylink/backends/incarnations.py
+++ b/gooseberrylink/backends/incarnations.py
@@ -153,9 +153,7 @@
         current = self._current
         if current is not None:
             self._agent.detach_backend("replaced")
-            if current.announcement.address == announcement.address:
-                # Two processes can't listen on one address, so the earlier one
-                # has ended.
+            if _has_ended(current.announcement, announcement):
                 current.backend.mark_lost("replaced")
         backend = self._make_backend_client(announcement)
         self._current = _CurrentIncarnation(announcement, backend, sequence)
@@ -181,3 +179,12 @@
         known.incarnation,
         known.address,
     )
+
+
+def _has_ended(known: Announcement, newer: Announcement) -> bool:
+    """Returns whether a newer incarnation shows that the known one has ended.
+
+    Two processes can't listen on one address, and an id is used again only by a
+    process that was restarted.
+    """
+    return newer.address == known.address or newer.incarnation == known.incarnation
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -131,3 +131,43 @@
         assert again.status is Status.DONE
 
     run_tracked(test)
+
+
+def test_unanswered_start_ends_when_its_backend_returns_at_another_address(
+    run_on_mock_clock,
+):
+    # The run never ended, and its capacity was lost to the agent for good.
+    async def main():
+        async with trio.open_nursery() as nursery:
+            servers = [FakeLeasedBackend("tank-1", nursery) for _ in range(2)]
+            servers[1].born_ms += 1
+            agent = FakeAgent(nursery)
+            tracker = IncarnationTracker(
+                agent,
+                lambda announcement: LeasedBackendClient(
+                    servers[int(announcement.address[-1])],
+                    5,
+                    LeaseSettings(),
+                    agent.metrics,
+                    lambda: None,
+                ),
+            )
+            for number, server in enumerate(servers):
+                nursery.start_soon(server.advance_runs)
+                announcement = Announcement(
+                    "s", f"w:{number}", 8, incarnation="i-1", born_ms=server.born_ms
+                )
+                tracker.handle_announcement(announcement, 1, False)
+                await wait_until_open(agent)
+                if number == 0:
+                    server.is_unresponsive = True
+                    payload = {"name": "a", "run_s": 1.0}
+                    nursery.start_soon(
+                        agent.backends[0].run, "id-a", "job", "shops", payload, 1
+                    )
+                    await trio.sleep(0.5)
+            await trio.sleep(5.0)
+            assert not agent.backends[0].has_runs
+            nursery.cancel_scope.cancel()
+
+    run_on_mock_clock(main)
