Give up a task that crashes the workers that start it

What callers saw: nothing on record.

Cause: a run that was lost with its backend server was started again without any bound but the job's deadline; only runs that ended as failed were counted. The class of fault: a retry without a budget, whose state would also have been lost with the entry that keeps it.

Why the fix works: the agent is the only one that sees how a run ends at its backend server. It reports each run that was lost with the server to all entries, with the name that the task has in every submission of its job, and repeats the reports on each new link. So any entry knows the losses before it starts the task, whether it assigned it before or has just started. A task is given up after two losses within 0.1 s after the start, or three of any kind. A run whose lease ended at the worker because the agent renewed it too late is not a loss.

The list is a field at the end of the frame, which older peers ignore.

Ruled out: a count at the entry of the job, which dies with it; one in the platform's table, which needs a write for each lost run and is down at times.

Not covered: a run that is lost together with its agent is not counted.

The stand-in worker can be crashed by a task, and does not reply while it is down.

--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -20,6 +20,7 @@
     BackendOutcome,
 )
 from gooseberrylink.backends.leased import STALLED
+from gooseberrylink.crash_history import CrashHistory
 from gooseberrylink.customer_demand_table import CustomerDemandTable
 from gooseberrylink.exceptions import MalformedAddressError
 from gooseberrylink.logs import log_event
@@ -36,6 +37,7 @@
     ConfigUpdate,
     EntryFrame,
     Host,
+    LostRun,
     Result,
     Revoke,
     Status,
@@ -64,6 +66,7 @@
         allocator: Divides the slots among entries.
         health: Quarantines a backend server whose tasks fail.
         speed: Relative speed at which tasks run at present; 0 if unknown.
+        crash_history: Runs that were lost with this agent's backend servers.
     """
 
     def __init__(
@@ -87,6 +90,7 @@
         self.health = BackendHealth(settings.quarantine_policy())
         self.is_draining = False
         self.speed = 0.0
+        self.crash_history = CrashHistory()
         self._customer_demands = CustomerDemandTable()
         self._backend: BackendClient | None = None
         self._announcement: Announcement | None = None
@@ -417,6 +421,8 @@
         now_s = trio.current_time()
         self._free_slot(peer, record, now_s)
         self._record_outcome(record, assign, outcome, now_s)
+        if outcome.is_backend_lost and assign.task_name:
+            self._report_lost_run(assign, outcome.is_crash_suspect, now_s)
         self._report(peer, record, outcome, now_s)
         self._start_held(now_s)
 
@@ -473,6 +479,15 @@
             self._record_failure(assign, now_s)
         self._update_task_limit()
 
+    def _report_lost_run(self, assign: Assign, is_suspect: bool, now_s: float) -> None:
+        """Reports a run that was lost with the backend server to all entries."""
+        lost_run = LostRun(assign.task_name, assign.assignment_id, is_suspect)
+        self.crash_history.record(lost_run, now_s)
+        self.metrics.add("runs_lost", "suspect" if is_suspect else "beside")
+        log_event("run_lost", run=assign.task_name, suspect=is_suspect)
+        for peer in self._peers.values():
+            peer.report_lost_run(lost_run)
+
     def _record_failure(self, assign: Assign, now_s: float) -> None:
         if self.health.record_failure(_make_failure(assign), now_s):
             self.metrics.add("quarantines")
--- a/gooseberrylink/backends/client.py
+++ b/gooseberrylink/backends/client.py
@@ -18,6 +18,10 @@
             backend server. A refusal because it is full is not.
         run_s: Run time in seconds: from the first byte of the request until the
             response, or from the start request until the run was reported as ended.
+        is_backend_lost: Whether the run ended because the backend server crashed or
+            fell silent.
+        is_crash_suspect: Whether that was so soon after the start that the task may
+            have crashed the backend server.
     """
 
     status: Status
@@ -25,6 +29,8 @@
     reason: str = ""
     run_s: float = 0.0
     is_evidence: bool = True
+    is_backend_lost: bool = False
+    is_crash_suspect: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -53,6 +53,9 @@
 # Factor by which the pause before the next request to stop a run grows, so that a
 # silent backend server gets ever fewer.
 _STOP_PAUSE_GROWTH = 1.1
+# A backend server that is lost within this time after it started a task may have been
+# crashed by it.
+_CRASH_ON_START_S = 0.1
 # Reason of a stop because of missing progress. It counts as a failure of the
 # backend server.
 STALLED = "stalled"
@@ -288,6 +291,10 @@
             backend server, as those before it had no reply either.
         progress: Completed fraction, 0 to 1, as last reported.
         progressed_s: When the progress last rose.
+        last_listed_s: When a report last listed it; None before.
+        was_backend_alive: Whether the backend server had replied to another request
+            shortly before the start was requested.
+        is_backend_lost: Whether it ended because the backend server was lost.
         is_stalled: Whether the run was stopped because of missing progress.
         end: How the run ended; None before.
         is_stopping: Whether a stop was requested.
@@ -305,6 +312,9 @@
     is_evidence: bool = True
     progress: float = 0.0
     progressed_s: float = math.inf
+    last_listed_s: float | None = None
+    was_backend_alive: bool = False
+    is_backend_lost: bool = False
     is_stalled: bool = False
     end: EndKind | None = None
     is_stopping: bool = False
@@ -345,6 +355,7 @@
         self._is_responsive = False
         self._born_ms = 0
         self._last_reply_s = trio.current_time()
+        self._last_sign_of_life_s = -math.inf
         self._lease_end_s = 0.0
         self._is_closed = False
         self._nursery: trio.Nursery | None = None
@@ -397,6 +408,7 @@
         run = _Run(self._client.make_run_key(payload, attempt), task_id, now_s)
         if run.key in self._runs:
             return _refusal("run_in_progress")
+        run.was_backend_alive = now_s - self._last_sign_of_life_s < _CRASH_ON_START_S
         self._runs[run.key] = run
         try:
             return await self._run(run, payload)
@@ -426,6 +438,7 @@
             now_s = trio.current_time()
             run.started_s = run.started_s or now_s
             run.progressed_s = min(run.progressed_s, now_s)
+            self._last_sign_of_life_s = now_s
             self._unanswered_start_count = 0
         elif reply is StartReply.UNANSWERED:
             self._unanswered_start_count += 1
@@ -468,11 +481,18 @@
             return BackendOutcome(Status.FAILED, reason="task_failed", run_s=run_s)
         if run.end is EndKind.NEVER_STARTED:
             return _refusal(reason, run.is_evidence)
-        return BackendOutcome(Status.STOPPED, reason=reason, run_s=run_s)
+        return BackendOutcome(
+            Status.STOPPED,
+            reason=reason,
+            run_s=run_s,
+            is_backend_lost=run.is_backend_lost,
+            is_crash_suspect=run.is_backend_lost and _may_have_crashed_backend(run),
+        )
 
-    def _finish(self, run: _Run, kind: EndKind) -> None:
+    def _finish(self, run: _Run, kind: EndKind, is_backend_lost: bool = False) -> None:
         if run.end is None:
             run.end = kind
+            run.is_backend_lost = is_backend_lost or kind is EndKind.LOST
             self._metrics.add("run_ends", kind.value)
             log_event(
                 "run_ended",
@@ -545,7 +565,7 @@
         )
         report = await self._client.renew(renewal)
         if isinstance(report, RunReport):
-            self._last_reply_s = trio.current_time()
+            self._last_reply_s = self._last_sign_of_life_s = trio.current_time()
             self._is_responsive = True
             self._apply_report(report, report_requested_s)
             return
@@ -614,6 +634,7 @@
         for key, progress in report.progress.items():
             run = self._runs.get(key)
             if run is not None:
+                run.last_listed_s = self._last_reply_s
                 if run.started_s is None or progress > run.progress:
                     run.progressed_s = self._last_reply_s
                 run.started_s = run.started_s or self._last_reply_s
@@ -685,7 +706,7 @@
         for run in list(self._runs.values()):
             # A run whose start request got no reply may still start.
             if run.started_s is not None:
-                self._finish(run, EndKind.LAPSED)
+                self._finish(run, EndKind.LAPSED, is_backend_lost=True)
 
     async def _set_not_open_when_silent(self) -> None:
         """Starts no new runs while the backend server does not reply."""
@@ -713,5 +734,13 @@
         self._lease_end_s = trio.current_time() + lease_s
 
 
+def _may_have_crashed_backend(run: _Run) -> bool:
+    """Returns whether the last sign of life came just before or after the start."""
+    if run.started_s is None:
+        return run.was_backend_alive
+    listed_until_s = run.last_listed_s or run.started_s
+    return listed_until_s - run.started_s < _CRASH_ON_START_S
+
+
 def _refusal(reason: str, is_evidence: bool = False) -> BackendOutcome:
     return BackendOutcome(Status.NOT_STARTED, reason=reason, is_evidence=is_evidence)
--- /dev/null
+++ b/gooseberrylink/crash_history.py
@@ -0,0 +1,71 @@
+"""Remembers which tasks were lost with their backend servers.
+
+A task may crash each backend server that starts it. Its runs look like those of the
+tasks beside it, which are lost as well, so a task is given up only after several
+losses. Agents report each loss to all entries: the job may be submitted again to an
+entry that has assigned none of its tasks.
+"""
+
+import collections
+
+from gooseberrylink.peers.messages import LostRun
+
+# Losses of a task shortly after its start after which it is given up. The tasks beside
+# it rarely start just before a crash twice.
+_MAX_SUSPECT_LOSSES = 2
+# Losses of any kind after which a task is given up. It may crash backend servers later
+# than shortly after its start.
+_MAX_LOSSES = 3
+# Longer than the time in which callers submit a job again.
+_RETENTION_S = 120.0
+_MAX_LOST_RUNS = 1000
+
+
+class CrashHistory:
+    """The runs that were lost lately with their backend servers, by task.
+
+    At most 1000 of them are kept, for 120 s.
+    """
+
+    def __init__(self):
+        self._recorded: collections.deque[tuple[float, LostRun]] = collections.deque()
+        self._lost_runs: dict[str, dict[str, LostRun]] = {}
+
+    def record(self, lost_run: LostRun, now_s: float) -> None:
+        """Adds a run, unless it was added before."""
+        self._forget_old(now_s)
+        of_task = self._lost_runs.setdefault(lost_run.task_name, {})
+        if lost_run.assignment_id not in of_task:
+            of_task[lost_run.assignment_id] = lost_run
+            self._recorded.append((now_s, lost_run))
+
+    def recent(self, now_s: float) -> list[LostRun]:
+        """Returns all runs that are kept, oldest first."""
+        self._forget_old(now_s)
+        return [lost_run for _, lost_run in self._recorded]
+
+    def count_losses(self, task_name: str) -> int:
+        """Returns how many runs of a task were lost."""
+        return len(self._lost_runs.get(task_name, ()))
+
+    def is_to_be_given_up(self, task_name: str) -> bool:
+        """Returns whether a task must not be started again."""
+        return (
+            self._count_suspect_losses(task_name) >= _MAX_SUSPECT_LOSSES
+            or self.count_losses(task_name) >= _MAX_LOSSES
+        )
+
+    def _count_suspect_losses(self, task_name: str) -> int:
+        lost_runs = self._lost_runs.get(task_name, {}).values()
+        return sum(lost_run.is_suspect for lost_run in lost_runs)
+
+    def _forget_old(self, now_s: float) -> None:
+        while self._recorded and (
+            self._recorded[0][0] < now_s - _RETENTION_S
+            or len(self._recorded) >= _MAX_LOST_RUNS
+        ):
+            _, lost_run = self._recorded.popleft()
+            of_task = self._lost_runs[lost_run.task_name]
+            del of_task[lost_run.assignment_id]
+            if not of_task:
+                del self._lost_runs[lost_run.task_name]
--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -8,6 +8,7 @@
 
 from gooseberrylink.admission import Admission
 from gooseberrylink.codes import CANCELLED_CODES, EXPIRED_CODES, Code
+from gooseberrylink.crash_history import CrashHistory
 from gooseberrylink.logs import log_event
 from gooseberrylink.metrics import Metrics
 from gooseberrylink.operators.configuration import Configuration
@@ -50,6 +51,8 @@
         is_draining: Whether new jobs are refused.
         shutdown_deadline_s: Time by which all answers must be given; infinite
             while no shutdown is in progress.
+        crash_history: Runs that were lost with their backend servers, as all agents
+            report them.
     """
 
     def __init__(
@@ -67,6 +70,7 @@
         self._last_job_ended_s = -math.inf
         self.run_times = RunTimeModel()
         self.quotas = Quotas()
+        self.crash_history = CrashHistory()
         self._success_rates = CustomerSuccessRates()
         self._configuration = configuration
         self._metrics = metrics
@@ -136,6 +140,9 @@
     async def run_job(self, job: Job) -> Answer:
         """Runs an admitted job; returns all its results, or one code."""
         pool = self.pool(job.request.service)
+        for task in job.tasks:
+            if self.crash_history.is_to_be_given_up(task.spec.name):
+                return self._crash_answer(task)
         # A job completes with its last task, so the longest tasks are placed first
         # and get the fastest slots.
         for task in sorted(job.tasks, key=lambda task: -task.expected_s):
@@ -380,6 +387,9 @@
             return
         if result.status is Status.STOPPED:
             task.state = TaskState.RAN
+            if self.crash_history.is_to_be_given_up(task.spec.name):
+                self._fail(job, self._crash_answer(task))
+                return
             if self._rerun(task, result.reason):
                 return
             code = Code.BACKEND_BROKE
@@ -401,6 +411,13 @@
         )
         self._fail(job, Answer(code, detail))
 
+    def _crash_answer(self, task: Task) -> Answer:
+        """Returns the answer to the job of a task that must not be started again."""
+        self._metrics.add("tasks_given_up", "workers_crashed")
+        losses = self.crash_history.count_losses(task.spec.name)
+        detail = f"{losses} workers crashed or fell silent while task {task.index} ran"
+        return Answer(Code.WORKERS_CRASHED, detail)
+
     def _record_run_time(self, peer: AgentPeer, task: Task, run_s: float) -> None:
         request = task.job.request
         self.run_times.record_run(
--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -163,6 +163,7 @@
             resources=task.spec.resources,
             attempt=task.attempts,
             expected_s=task.expected_s,
+            task_name=task.spec.name,
         )
         self.outbox.put(item)
 
@@ -330,6 +331,8 @@
                 customer, self.worker, total_demand_per_s, self.last_frame_s
             )
         self.config_version = frame.config_version
+        for lost_run in frame.lost_runs:
+            self._entry.dispatcher.crash_history.record(lost_run, self.last_frame_s)
         for item in frame.items:
             match item:
                 case Result():
--- a/gooseberrylink/peers/entry_peer.py
+++ b/gooseberrylink/peers/entry_peer.py
@@ -12,6 +12,7 @@
     AgentFrame,
     EntryHello,
     Host,
+    LostRun,
     Result,
     Status,
     decode_at_agent,
@@ -56,6 +57,7 @@
         self._session: Session | None = None
         self._units_received = 0
         self._host_sent: Host | None = None
+        self._unsent_lost_runs: list[LostRun] = []
         self._has_failed = False
 
     @property
@@ -134,6 +136,8 @@
         self.name = hello.entry
         self._units_received = 0
         self._host_sent = None
+        # Reported to every entry, also to one that has just started.
+        self._unsent_lost_runs = self._agent.crash_history.recent(trio.current_time())
         log_event("entry_connected", entry=hello.entry, address=self.address)
         self._agent.handle_entry_connected(self)
         # The old link may have lost results or their acknowledgements.
@@ -157,6 +161,12 @@
     def return_unsent(self, items: list[Any]) -> None:
         """See SessionOwner; does nothing, as the next session resends results."""
 
+    def report_lost_run(self, lost_run: LostRun) -> None:
+        """Reports a lost run with the next frame; a later session repeats it."""
+        if self.is_connected:
+            self._unsent_lost_runs.append(lost_run)
+            self.outbox.wake_sender()
+
     def count_received_units(self, units: int) -> None:
         """Counts the units of a received assignment.
 
@@ -190,6 +200,7 @@
         free_units = allocator.free_units_for(self.incarnation)
         host = agent.host if agent.host != self._host_sent else None
         self._host_sent = agent.host
+        lost_runs, self._unsent_lost_runs = self._unsent_lost_runs, []
         return AgentFrame(
             clock_s=now_s,
             free_units=free_units,
@@ -207,4 +218,5 @@
             gpus=agent.resources.gpus,
             speed=agent.speed,
             host=host,
+            lost_runs=lost_runs,
         )
--- a/gooseberrylink/peers/messages.py
+++ b/gooseberrylink/peers/messages.py
@@ -95,6 +95,7 @@
         resources: What the task uses at the backend server.
         attempt: Number of this assignment among all those of the task, from 1.
         expected_s: Expected run time on a typical worker, in seconds (slowdown 1).
+        task_name: Name that the task has in all submissions of its job; "" if none.
     """
 
     assignment_id: str
@@ -109,6 +110,7 @@
     resources: Resources = Resources()
     attempt: int = 1
     expected_s: float = 0.0
+    task_name: str = ""
 
 
 class Revoke(msgspec.Struct, tag="r", array_like=True):
@@ -144,6 +146,21 @@
     run_s: float = 0.0
 
 
+class LostRun(msgspec.Struct, array_like=True, frozen=True):
+    """A run that ended because its backend server crashed or fell silent.
+
+    Attributes:
+        task_name: See Assign.
+        assignment_id: Identifies the run.
+        is_suspect: Whether the backend server was lost shortly after it started the
+            run, so that the task may have crashed it.
+    """
+
+    task_name: str
+    assignment_id: str
+    is_suspect: bool
+
+
 class ConfigUpdate(msgspec.Struct, tag="c", array_like=True):
     """Carries an accepted configuration to a peer that has an older one.
 
@@ -206,6 +223,8 @@
             typical worker; 0 if unknown.
         host: Host of the backend server; None if it is the same as last sent on
             this link.
+        lost_runs: Runs of all entries that were lost with the backend server, and
+            that were not sent on this link yet.
     """
 
     clock_s: float
@@ -224,6 +243,7 @@
     gpus: int = 0
     speed: float = 0.0
     host: Host | None = None
+    lost_runs: list[LostRun] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/gooseberrylink/platform/job_api.py
+++ b/gooseberrylink/platform/job_api.py
@@ -186,6 +186,7 @@
             step.estimate_ms / 1000,
             Resources(step.cpu, step.mem_mb, step.gpu),
             step.affinity,
+            f"{job_id}.0.0.{index}",
         )
         for step in job.steps
         for index in range(step.count)
@@ -245,7 +246,7 @@
 def _to_response(answer: Answer) -> tuple[int, bytes, list[tuple[bytes, bytes]]]:
     if answer.code is Code.OK:
         return _json_response(200, {"state": "completed"})
-    if answer.code is Code.TASK_FAILED:
+    if answer.code in (Code.TASK_FAILED, Code.WORKERS_CRASHED):
         return _json_response(200, {"state": "failed"})
     status = _HTTP_STATUS.get(answer.code)
     if status is None:
--- a/gooseberrylink/standins/leased_backend.py
+++ b/gooseberrylink/standins/leased_backend.py
@@ -50,7 +50,8 @@
 class FakeLeasedBackend:
     """Runs tasks by waiting; implements RunClient.
 
-    A payload is {"name": ..., "run_s": ..., "units": ...}.
+    A payload is {"name": ..., "run_s": ..., "units": ...}. With "crash_s" as well, the
+    backend server crashes that many seconds after it started the task.
 
     Attributes:
         name: Name of its worker.
@@ -69,6 +70,8 @@
         slowdown: Factor by which runs take longer than the payload says.
         clock_drift: Share by which its clock runs slow; 0.02 is 2%.
         fencing_token: Highest token seen; requests with a lower one are refused.
+        restart_s: How long it is down after a task crashed it.
+        crashed_by: Name of the task of each crash, in order.
         born_ms: Start of its current incarnation, in milliseconds. The origin is
             arbitrary; each restart adds 1.
     """
@@ -93,6 +96,8 @@
         self.is_hung = False
         self.slowdown = 1.0
         self.fencing_token = 0
+        self.restart_s = 3.0
+        self.crashed_by: list[str] = []
         self.born_ms = 1_000_000
         self._nursery = nursery
         self._rng = random.Random(f"{name} {seed}")
@@ -128,6 +133,17 @@
         self._highest_attempts.clear()
         self.fencing_token = self._last_end_number = self._lease_end_ms = 0
 
+    async def _crash_later(self, key: RunKey, delay_s: float) -> None:
+        """Crashes while the run is in progress, and restarts after a while."""
+        await trio.sleep(delay_s)
+        if key not in self._running:
+            return
+        self.crashed_by.append(key.name)
+        self.is_unresponsive = True
+        self.crash()
+        await trio.sleep(self.restart_s)
+        self.is_unresponsive = False
+
     def make_run_key(self, payload: Any, attempt: int) -> RunKey:
         """See RunClient."""
         return RunKey(payload["name"], attempt)
@@ -166,6 +182,9 @@
         with trio.move_on_after(renewal.wait_s):
             while not self._unacknowledged_ends:
                 await trio.sleep(_POLL_INTERVAL_S)
+        if self.is_unresponsive:
+            await trio.sleep(_REPLY_TIMEOUT_S)
+            return ControlReply.UNANSWERED
         progress = {
             key: min(1.0, self._progress_s[key] / run.run_s)
             for key, run in self._running.items()
@@ -246,6 +265,8 @@
         self._progress_s[key] = 0.0
         in_use = sum(other.units for other in self._running.values())
         self.peak_units = max(self.peak_units, in_use)
+        if "crash_s" in payload:
+            self._nursery.start_soon(self._crash_later, key, payload["crash_s"])
         return StartReply.STARTED
 
     def _stop(self, key: RunKey, fencing_token: int) -> ControlReply:
--- a/gooseberrylink/types.py
+++ b/gooseberrylink/types.py
@@ -21,12 +21,14 @@
         resources: Resources that it uses at a backend server.
         data_rack: Rack where its data is stored; "" if its run time does not
             depend on the rack.
+        name: Name that the task has in all submissions of its job; "" if none.
     """
 
     payload: Any
     declared_s: float = 0.0
     resources: Resources = Resources()
     data_rack: str = ""
+    name: str = ""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/tests/test_worker_crashes.py
@@ -0,0 +1,170 @@
+"""Tests tasks that crash each worker that starts them."""
+
+import pytest
+import trio
+
+from gooseberrylink.codes import Code
+from gooseberrylink.resources import Resources
+from gooseberrylink.standins.leased_backend import (
+    FakeLeasedBackend,
+    find_tasks_with_overlapping_runs,
+)
+from gooseberrylink.types import JobRequest, RerunPolicy, TaskSpec
+
+ENTRY_SETTINGS = {
+    "rerun_after_silence_s": 2.4,
+    "lease_s": 0.6,
+    "busy_heartbeat_s": 0.15,
+    "idle_heartbeat_s": 0.3,
+}
+# Time after which a caller resubmits a job whose connection broke.
+RESUBMIT_AFTER_S = 1.3
+
+
+def make_payloads(label: str, *run_s: float) -> list[dict]:
+    return [
+        {"name": f"{label}.{index}", "run_s": seconds}
+        for index, seconds in enumerate(run_s)
+    ]
+
+
+def make_request(label: str, payloads: list[dict]) -> JobRequest:
+    return JobRequest(
+        customer="shops",
+        service="dispatch",
+        tasks=[
+            TaskSpec(payload, payload["run_s"], Resources(1), name=payload["name"])
+            for payload in payloads
+        ],
+        deadline_s=10.0,
+        job_id=label,
+        rerun_policy=RerunPolicy(2),
+    )
+
+
+def make_job(label: str, *run_s: float) -> JobRequest:
+    return make_request(label, make_payloads(label, *run_s))
+
+
+def make_crashing_job(label: str, *run_s: float, crash_s: float = 0.01) -> JobRequest:
+    """Returns a job whose first task crashes each worker that starts it."""
+    payloads = make_payloads(label, *run_s)
+    payloads[0]["crash_s"] = crash_s
+    return make_request(label, payloads)
+
+
+@pytest.fixture
+def run_deployment_with_leases(run_on_deployment):
+    """Returns a function that runs a test on workers whose tasks run under leases."""
+
+    def run(test, entries: int = 1, workers: int = 8, seed: int = 0):
+        async def main(deployment):
+            async with trio.open_nursery() as nursery:
+                for number in range(entries):
+                    await deployment.add_entry(f"entry-{number}", **ENTRY_SETTINGS)
+                fakes = []
+                for number in range(workers):
+                    fake = FakeLeasedBackend(f"tank-{number + 1}", nursery)
+                    nursery.start_soon(fake.advance_runs)
+                    fakes.append(fake)
+                    await deployment.add_agent_with_leases(fake)
+                await deployment.wait_connected()
+                await test(deployment, fakes)
+                nursery.cancel_scope.cancel()
+
+        run_on_deployment(main, seed)
+
+    return run
+
+
+def find_crashes(workers: list[FakeLeasedBackend]) -> list[str]:
+    """Returns the task of each crash of a worker."""
+    return [name for worker in workers for name in worker.crashed_by]
+
+
+async def submit_and_discard_answer(entry, job) -> None:
+    await entry.submit(job)
+
+
+async def submit_and_record_code(entry, job, codes) -> None:
+    codes[job.job_id] = (await entry.submit(job)).code
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_task_that_crashed_two_workers_is_given_up(run_deployment_with_leases, seed):
+    async def test(deployment, workers):
+        (entry,) = deployment.entries
+        answer = await entry.submit(make_crashing_job("a", *[0.1] * 6))
+        assert find_crashes(workers) == ["a.0", "a.0"]
+        assert answer.code is Code.WORKERS_CRASHED
+
+    run_deployment_with_leases(test, seed=seed)
+
+
+def test_task_that_crashes_workers_late_is_given_up(run_deployment_with_leases):
+    # Nothing tells it from the tasks beside it, so it gets one more attempt.
+    async def test(deployment, workers):
+        (entry,) = deployment.entries
+        answer = await entry.submit(make_crashing_job("a", *[2.0] * 6, crash_s=0.6))
+        assert find_crashes(workers) == ["a.0"] * 3
+        assert answer.code is Code.WORKERS_CRASHED
+
+    run_deployment_with_leases(test)
+
+
+@pytest.mark.parametrize("killed_after_s", [0.1, 0.6, 1.5])
+def test_job_sent_again_does_not_crash_three_more_workers(
+    run_deployment_with_leases, killed_after_s
+):
+    async def test(deployment, workers):
+        first, second = deployment.entries
+        job = make_crashing_job("a", *[0.1] * 6)
+        deployment.start_soon(lambda: submit_and_discard_answer(first, job))
+        await trio.sleep(killed_after_s)
+        await deployment.kill_entry(first)
+        await trio.sleep(RESUBMIT_AFTER_S)
+        answer = await second.submit(job)
+        assert len(find_crashes(workers)) <= 3
+        assert answer.code is Code.WORKERS_CRASHED
+
+    run_deployment_with_leases(test, entries=2)
+
+
+def test_entry_that_starts_after_the_crashes_does_not_start_the_task_again(
+    run_deployment_with_leases,
+):
+    async def test(deployment, workers):
+        (entry,) = deployment.entries
+        job = make_crashing_job("a", *[0.1] * 6)
+        await entry.submit(job)
+        await deployment.kill_entry(entry)
+        replacement = await deployment.add_entry("entry-1", **ENTRY_SETTINGS)
+        for agent in deployment.agents.values():
+            agent.add_known_entries([replacement.address_for_agents])
+        await deployment.wait_connected()
+        answer = await replacement.submit(job)
+        assert len(find_crashes(workers)) == 2
+        assert answer.code is Code.WORKERS_CRASHED
+
+    run_deployment_with_leases(test)
+
+
+def test_tasks_of_a_worker_that_falls_silent_twice_are_not_given_up(
+    run_deployment_with_leases,
+):
+    async def test(deployment, workers):
+        (entry,) = deployment.entries
+        codes = {}
+        async with trio.open_nursery() as nursery:
+            job = make_job("a", *[1.0] * 12)
+            nursery.start_soon(submit_and_record_code, entry, job, codes)
+            for _ in range(2):
+                await trio.sleep(0.5)
+                busiest = max(workers, key=lambda w: len(w.runs))
+                busiest.is_unresponsive = True
+                await trio.sleep(1.2)
+                busiest.is_unresponsive = False
+        assert codes == {"a": Code.OK}
+        assert find_tasks_with_overlapping_runs(workers) == []
+
+    run_deployment_with_leases(test)
