Try tasks that may crash a worker apart from each other

Cause: all runs of a lost worker end at the same moment, and their tasks were assigned together, mostly to the same next worker. There the crashing one took the others with it, so that a second crash did not tell which task caused it.

Why the fix works: tasks of this kind crash a worker within milliseconds of their start. After a suspect was assigned to a worker, the entry assigns no other suspect to it for 0.25 s, and other tasks only if they fit nowhere else. Of the workers with capacity a suspect gets the one with the fewest units in use. A suspect that waits holds back no other task of the queue.

Not covered: suspects of two entries may meet at one worker.

--- a/gooseberrylink/crash_history.py
+++ b/gooseberrylink/crash_history.py
@@ -48,6 +48,10 @@
         """Returns how many runs of a task were lost."""
         return len(self._lost_runs.get(task_name, ()))
 
+    def is_suspect(self, task_name: str) -> bool:
+        """Returns whether a backend server was lost shortly after it started a task."""
+        return self._count_suspect_losses(task_name) > 0
+
     def is_to_be_given_up(self, task_name: str) -> bool:
         """Returns whether a task must not be started again."""
         return (
--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -141,6 +141,7 @@
         """Runs an admitted job; returns all its results, or one code."""
         pool = self.pool(job.request.service)
         for task in job.tasks:
+            task.is_crash_suspect = self.crash_history.is_suspect(task.spec.name)
             if self.crash_history.is_to_be_given_up(task.spec.name):
                 return self._crash_answer(task)
         # A job completes with its last task, so the longest tasks are placed first
@@ -390,6 +391,7 @@
             if self.crash_history.is_to_be_given_up(task.spec.name):
                 self._fail(job, self._crash_answer(task))
                 return
+            task.is_crash_suspect = self.crash_history.is_suspect(task.spec.name)
             if self._rerun(task, result.reason):
                 return
             code = Code.BACKEND_BROKE
@@ -508,7 +510,8 @@
                     pool.queue.take(task)
                     self._assign(pool, peer, task)
                     return True
-                smallest_unplaced[task.is_long] = units
+                if not task.is_crash_suspect:
+                    smallest_unplaced[task.is_long] = units
             if self._is_too_late_to_start(task, now_s):
                 self._give_up(task.job)
                 return True
@@ -526,10 +529,11 @@
         for task in job.tasks:
             if task.state is TaskState.QUEUED:
                 peer = self._policy.choose(task, pool.peers, now_s)
-                if peer is None:
+                if peer is None and not task.is_crash_suspect:
                     return
-                pool.queue.take(task)
-                self._assign(pool, peer, task)
+                if peer is not None:
+                    pool.queue.take(task)
+                    self._assign(pool, peer, task)
 
     def _assign(self, pool: ServicePool, peer: AgentPeer, task: Task) -> None:
         task.state = TaskState.ASSIGNED
--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -35,6 +35,9 @@
 _MAX_EARLIER_INCARNATIONS = 16
 # Jobs that one log line names.
 _MAX_LOGGED_JOBS = 8
+# Time for which a worker is on trial after the assignment of a task that may crash it:
+# tasks that do so crash it within some milliseconds.
+_TRIAL_S = 0.25
 # A slow worker gets no tasks and so reports no new speed. Once its last report is
 # older than this, the worker is tried again.
 _SPEED_VALID_S = 2.0
@@ -95,6 +98,7 @@
         self.free_gpus = 0
         self.host = Host()
         self.units_in_flight = 0
+        self._trial_ends_s = float("-inf")
         self._pending_acks: list[str] = []
         self.config_version = 0
 
@@ -149,6 +153,8 @@
         """Queues an assignment for sending; the task is in flight until its result."""
         self.tasks_in_flight[task.assignment_id] = task
         self.units_in_flight += task.spec.resources.units
+        if task.is_crash_suspect:
+            self._trial_ends_s = trio.current_time() + _TRIAL_S
         self._units_sent += task.spec.resources.units
         item = Assign(
             assignment_id=task.assignment_id,
@@ -172,6 +178,10 @@
         del self.tasks_in_flight[task.assignment_id]
         self.units_in_flight -= task.spec.resources.units
 
+    def is_on_trial(self, now_s: float) -> bool:
+        """Returns whether it was just assigned a task that may crash its worker."""
+        return now_s < self._trial_ends_s
+
     def recent_speed(self, now_s: float) -> float | None:
         """Returns the speed that the agent last reported; None if it is out of date."""
         if now_s - self._speed_reported_s > _SPEED_VALID_S:
--- a/gooseberrylink/routing.py
+++ b/gooseberrylink/routing.py
@@ -134,6 +134,10 @@
         eligible = [peer for peer in peers if peer.has_free_resources_for(task)]
         if not eligible:
             return None
+        if task.is_crash_suspect:
+            return _choose_for_suspect(eligible, now_s)
+        # It would be lost with a worker that crashes.
+        eligible = [p for p in eligible if not p.is_on_trial(now_s)] or eligible
         if task.job.request.latency_target is None:
             return max(eligible, key=lambda peer: self._score(peer, task, now_s))
         on_time = [peer for peer in eligible if self._is_on_time(peer, task, now_s)]
@@ -229,6 +233,16 @@
         return score
 
 
+def _choose_for_suspect(eligible: list[AgentPeer], now_s: float) -> AgentPeer | None:
+    """Chooses a worker for a task that may crash it.
+
+    Only one such task is assigned to a worker at a time, so that its next crash shows
+    which task causes them. Where the fewest tasks run, the fewest are lost with it.
+    """
+    candidates = [peer for peer in eligible if not peer.is_on_trial(now_s)]
+    return min(candidates, key=lambda peer: peer.slots - peer.free_units, default=None)
+
+
 def _has_spare_capacity(peer: AgentPeer) -> bool:
     return peer.free_units >= _SPARE_CAPACITY_FACTOR * peer.units_in_flight
 
--- a/gooseberrylink/types.py
+++ b/gooseberrylink/types.py
@@ -139,6 +139,7 @@
         assigned_s: Time of the last assignment on the entry's clock.
         avoided_workers: Workers at which a run of it failed, was stopped, or was
             lost.
+        is_crash_suspect: Whether a run of it may have crashed its backend server.
     """
 
     task_id: str
@@ -154,6 +155,7 @@
     failures: int = 0
     assigned_s: float = 0.0
     avoided_workers: set[str] = dataclasses.field(default_factory=set)
+    is_crash_suspect: bool = False
 
     @property
     def assignment_id(self) -> str:
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -112,6 +112,32 @@
     run_deployment_with_leases(test)
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_jobs_beside_a_task_that_crashes_workers_complete(
+    run_deployment_with_leases, seed
+):
+    # Tasks that were lost with a worker were assigned to the next one together, so
+    # the crashing one took the others with it again (seen in a day with deadly tasks
+    # on bennani-eau, seconds 9 and 10).
+    async def test(deployment, workers):
+        (entry,) = deployment.entries
+        codes = {}
+        async with trio.open_nursery() as nursery:
+            for number in range(12):
+                job = make_job(f"j{number}", *[0.3] * 4)
+                nursery.start_soon(submit_and_record_code, entry, job, codes)
+                if number == 3:
+                    crashing = make_crashing_job("a", *[0.1] * 2)
+                    nursery.start_soon(submit_and_record_code, entry, crashing, codes)
+                await trio.sleep(0.05)
+        assert find_crashes(workers) == ["a.0", "a.0"]
+        assert codes.pop("a") is Code.WORKERS_CRASHED
+        assert set(codes.values()) == {Code.OK}
+        assert find_tasks_with_overlapping_runs(workers) == []
+
+    run_deployment_with_leases(test, seed=seed)
+
+
 @pytest.mark.parametrize("killed_after_s", [0.1, 0.6, 1.5])
 def test_job_sent_again_does_not_crash_three_more_workers(
     run_deployment_with_leases, killed_after_s
