--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -8,6 +8,7 @@
 
 from gooseberrylink.admission import Admission
 from gooseberrylink.codes import CANCELLED_CODES, EXPIRED_CODES, Code
+from gooseberrylink.crash_history import CrashHistory
 from gooseberrylink.logs import log_event
 from gooseberrylink.metrics import Metrics
 from gooseberrylink.operators.configuration import Configuration
@@ -50,6 +51,8 @@
         is_draining: Whether new jobs are refused.
         shutdown_deadline_s: Time by which all answers must be given; infinite
             while no shutdown is in progress.
+        crash_history: Runs that were lost with their backend servers, as all agents
+            report them.
     """
 
     def __init__(
@@ -67,6 +70,7 @@
         self._last_job_ended_s = -math.inf
         self.run_times = RunTimeModel()
         self.quotas = Quotas()
+        self.crash_history = CrashHistory()
         self._success_rates = CustomerSuccessRates()
         self._configuration = configuration
         self._metrics = metrics
@@ -136,6 +140,10 @@
     async def run_job(self, job: Job) -> Answer:
         """Runs an admitted job; returns all its results, or one code."""
         pool = self.pool(job.request.service)
+        for task in job.tasks:
+            task.is_crash_suspect = self.crash_history.is_suspect(task.spec.name)
+            if self.crash_history.is_to_be_given_up(task.spec.name):
+                return self._crash_answer(task)
         # A job completes with its last task, so the longest tasks are placed first
         # and get the fastest slots.
         for task in sorted(job.tasks, key=lambda task: -task.expected_s):
@@ -380,6 +388,10 @@
             return
         if result.status is Status.STOPPED:
             task.state = TaskState.RAN
+            if self.crash_history.is_to_be_given_up(task.spec.name):
+                self._fail(job, self._crash_answer(task))
+                return
+            task.is_crash_suspect = self.crash_history.is_suspect(task.spec.name)
             if self._rerun(task, result.reason):
                 return
             code = Code.BACKEND_BROKE
@@ -401,6 +413,13 @@
         )
         self._fail(job, Answer(code, detail))
 
+    def _crash_answer(self, task: Task) -> Answer:
+        """Returns the answer to the job of a task that must not be started again."""
+        self._metrics.add("tasks_given_up", "workers_crashed")
+        losses = self.crash_history.count_losses(task.spec.name)
+        detail = f"{losses} workers crashed or fell silent while task {task.index} ran"
+        return Answer(Code.WORKERS_CRASHED, detail)
+
     def _record_run_time(self, peer: AgentPeer, task: Task, run_s: float) -> None:
         request = task.job.request
         self.run_times.record_run(
@@ -491,7 +510,8 @@
                     pool.queue.take(task)
                     self._assign(pool, peer, task)
                     return True
-                smallest_unplaced[task.is_long] = units
+                if not task.is_crash_suspect:
+                    smallest_unplaced[task.is_long] = units
             if self._is_too_late_to_start(task, now_s):
                 self._give_up(task.job)
                 return True
@@ -509,10 +529,11 @@
         for task in job.tasks:
             if task.state is TaskState.QUEUED:
                 peer = self._policy.choose(task, pool.peers, now_s)
-                if peer is None:
+                if peer is None and not task.is_crash_suspect:
                     return
-                pool.queue.take(task)
-                self._assign(pool, peer, task)
+                if peer is not None:
+                    pool.queue.take(task)
+                    self._assign(pool, peer, task)
 
     def _assign(self, pool: ServicePool, peer: AgentPeer, task: Task) -> None:
         task.state = TaskState.ASSIGNED
--- a/gooseberrylink/types.py
+++ b/gooseberrylink/types.py
@@ -21,12 +21,14 @@
         resources: Resources that it uses at a backend server.
         data_rack: Rack where its data is stored; "" if its run time does not
             depend on the rack.
+        name: Name that the task has in all submissions of its job; "" if none.
     """
 
     payload: Any
     declared_s: float = 0.0
     resources: Resources = Resources()
     data_rack: str = ""
+    name: str = ""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -137,6 +139,7 @@
         assigned_s: Time of the last assignment on the entry's clock.
         avoided_workers: Workers at which a run of it failed, was stopped, or was
             lost.
+        is_crash_suspect: Whether a run of it may have crashed its backend server.
     """
 
     task_id: str
@@ -152,6 +155,7 @@
     failures: int = 0
     assigned_s: float = 0.0
     avoided_workers: set[str] = dataclasses.field(default_factory=set)
+    is_crash_suspect: bool = False
 
     @property
     def assignment_id(self) -> str:
