Check the leases of entries soon after an idle agent receives a task

Cause: an agent stops the tasks of entries whose lease has ended in a check that it repeats every 0.2 s, but every 1.0 s if it had no work at the last one. The longer pause was not cut short when a task arrived. A lease counts from the sending of a frame, so an assignment that packet loss delayed by 0.7 s arrives with 0.1 s left. If its entry died meanwhile, the run was stopped up to 1.0 s after the arrival, 1.7 s after the caller's connection broke; the caller sends the job again after 1.3 s.

Evidence, test_task_whose_assignment_was_delayed_ends_with_the_lease_of_its_entry on; two of its five offsets to the check failed:

All five pass now. An agent without work still checks once a second.

Ruled out: omitting the pause for the next check altogether, since an agent that refuses all it is assigned would never get to it.

Passed: test_late_orders, test_reruns, test_leased, test_withdrawn_jobs, test_agent_restart, test_suspension, test_incarnations, test_assignment_table (183 tests).

--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -46,7 +46,8 @@
 from gooseberrylink.slot_allocator import SlotAllocator
 
 _MAINTENANCE_INTERVAL_S = 0.2
-_IDLE_MAINTENANCE_INTERVAL_S = 1.0
+# How much longer the interval is while there is no work.
+_MAX_IDLE_WAIT_S = 0.8
 _DRAIN_POLL_S = 0.05
 # A task that its entry did not mark as holdable is held only while fewer tasks
 # than this are held.
@@ -97,6 +98,7 @@
         self._known_entries: set[str] = set(settings.entries)
         self._can_dial = False
         self._backend_opened = trio.Event()
+        self._task_admitted = trio.Event()
         self._nursery: trio.Nursery | None = None
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -351,6 +353,7 @@
             if record != "duplicate":
                 self._refuse(peer, assign.assignment_id, record)
             return
+        self._task_admitted.set()
         self._update_task_limit()
         reason = self._refusal_reason(assign, now_s)
         if reason is None:
@@ -629,10 +632,12 @@
 
     async def _run_maintenance(self) -> None:
         while True:
-            is_busy = self._running or self._held or self.health.is_quarantined
-            await trio.sleep(
-                _MAINTENANCE_INTERVAL_S if is_busy else _IDLE_MAINTENANCE_INTERVAL_S
-            )
+            if not (self._running or self._held or self.health.is_quarantined):
+                # The lease of a task may end soon after its assignment arrived.
+                self._task_admitted = trio.Event()
+                with trio.move_on_after(_MAX_IDLE_WAIT_S):
+                    await self._task_admitted.wait()
+            await trio.sleep(_MAINTENANCE_INTERVAL_S)
             now_s = trio.current_time()
             self._stop_tasks_without_lease(now_s)
             self._update_speed()
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -10,6 +10,7 @@
     LeasedBackendClient,
     LeaseSettings,
 )
+from gooseberrylink.codes import Code
 from gooseberrylink.metrics import Metrics
 from gooseberrylink.platform.common import link_settings
 from gooseberrylink.resources import Resources
@@ -21,6 +22,8 @@
 
 # Time after which a caller resubmits a job whose connection broke.
 RESUBMIT_AFTER_S = 1.3
+# Age of an assignment at its arrival.
+DELAY_S = 0.7
 # Time after which no late request is left.
 LATE_REQUESTS_S = 12.0
 
@@ -87,6 +90,35 @@
     run_with_late_orders(test, seed)
 
 
+@pytest.mark.parametrize("idle_s", [0.0, 0.2, 0.4, 0.6, 0.8])
+def test_task_whose_assignment_was_delayed_ends_with_the_lease_of_its_entry(
+    run_with_late_orders, idle_s
+):
+    # The entry falls silent for good after it has sent the assignment.
+    async def test(deployment, workers):
+        first, second = deployment.entries
+        await trio.sleep(2.0 + idle_s)
+        connections = deployment.network.find_open_connections(
+            address=first.address_for_agents
+        )
+        for connection in connections:
+            connection.agent_end.pause_delivery()
+        with trio.move_on_after(0.01):
+            await first.submit(make_job("a", 4.0))
+        for worker in workers:
+            deployment.network.partition(worker.name, first.address_for_agents)
+        await trio.sleep(DELAY_S)
+        for connection in connections:
+            connection.agent_end.resume_delivery()
+        await trio.sleep(RESUBMIT_AFTER_S - DELAY_S)
+        assert sum(len(worker.runs) for worker in workers) == 6
+        answer = await second.submit(make_job("a", 0.2))
+        assert answer.code is Code.OK
+        assert find_tasks_with_overlapping_runs(workers) == []
+
+    run_with_late_orders(test, seed=0)
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_late_lease_requests_do_not_extend_runs_past_their_reported_end(
     run_on_mock_clock, seed
