Start no run of a task beside an earlier run of it on the same worker

Cause: a job that is sent again at another entry numbers its runs from 1 again. If the agent could not stop the first submission's run yet, because its stop requests were executed late, it refused run 1 of the second submission as run_in_progress, but only under this very number. The entry assigned the task again as run 2, and the agent started it beside the run that it knew had not ended.

Evidence, test_worker_is_not_asked_for_a_second_run_of_a_task_whose_first_goes_on on; stops are executed 2 s late, and the job is sent again after 1.3 s:

AssertionError: assert ['a.0'] == []

Why the fix works: an agent is the only one that starts runs at its worker, and its client keeps each run until that has certainly ended. While there is any run of the task, another one is refused, whatever their numbers. The refusal comes when the earlier run has ended, or after 0.5 s, so that the entry neither repeats the assignment at once nor tries another worker while that run goes on. Without an earlier run nothing yields between the check of the permission to start and the request, as before.

Ruled out: starting the run after the wait instead of refusing it. The lease of its entry and its deadline would have to be checked again, and a revocation that arrives during the wait would find no run to stop. Not covered: a second run on another worker; no agent knows of the runs of others.

--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -50,6 +50,8 @@
 _MAX_START_REQUESTS = 5
 # Bound of the requests in flight to stop one run.
 _MAX_STOPS_IN_FLIGHT = 8
+# Longest wait for the end of an earlier run before another one of its task is refused.
+_MAX_EARLIER_RUN_WAIT_S = 0.5
 # Factor by which the pause before the next request to stop a run grows, so that a
 # silent backend server gets ever fewer.
 _STOP_PAUSE_GROWTH = 1.1
@@ -395,7 +397,7 @@
             return _refusal("backend_not_open")
         now_s = trio.current_time()
         run = _Run(self._client.make_run_key(payload, attempt), task_id, now_s)
-        if run.key in self._runs:
+        if await self._wait_for_earlier_run(run.key.name):
             return _refusal("run_in_progress")
         self._runs[run.key] = run
         try:
@@ -403,6 +405,23 @@
         finally:
             del self._runs[run.key]
 
+    async def _wait_for_earlier_run(self, name: str) -> bool:
+        """Waits for the end of a task's run that an earlier assignment started.
+
+        A job that is sent again numbers its runs from 1 again, so the earlier run may
+        have any number. The wait has a limit, and nothing is started after it, because
+        the permission to start may have ended meanwhile.
+
+        Returns:
+            Whether there was such a run.
+        """
+        for run in self._runs.values():
+            if run.key.name == name:
+                with trio.move_on_after(_MAX_EARLIER_RUN_WAIT_S):
+                    await run.ended.wait()
+                return True
+        return False
+
     def stop(self, task_id: str) -> None:
         """See BackendClient."""
         for run in self._runs.values():
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -6,6 +6,7 @@
 import trio
 
 from gooseberrylink.backends.leased import (
+    ControlReply,
     EndKind,
     LeasedBackendClient,
     LeaseSettings,
@@ -26,6 +27,7 @@
 DELAY_S = 0.7
 # Time after which no late request is left.
 LATE_REQUESTS_S = 12.0
+LATE_STOP_S = 2.0
 
 
 def make_job(label: str, run_s: float, task_count: int = 6) -> JobRequest:
@@ -119,6 +121,42 @@
     run_with_late_orders(test, seed=0)
 
 
+class BackendWithLateStops(FakeLeasedBackend):
+    """Executes each request to stop a run LATE_STOP_S after it was sent."""
+
+    async def stop(self, key, fencing_token):
+        self._nursery.start_soon(
+            self._execute_later, lambda: self._stop(key, fencing_token), LATE_STOP_S
+        )
+        await trio.sleep(0.25)
+        return ControlReply.UNANSWERED
+
+
+def test_worker_is_not_asked_for_a_second_run_of_a_task_whose_first_goes_on(
+    run_on_deployment,
+):
+    async def test(deployment):
+        async with trio.open_nursery() as nursery:
+            first, second = [
+                await deployment.add_entry(f"entry-{number}", **link_settings())
+                for number in range(2)
+            ]
+            worker = BackendWithLateStops("tank-1", nursery)
+            nursery.start_soon(worker.advance_runs)
+            await deployment.add_agent_with_leases(worker, **link_settings())
+            await deployment.wait_connected()
+            with trio.move_on_after(0.3):
+                await first.submit(make_job("a", 4.0, task_count=1))
+            await trio.sleep(RESUBMIT_AFTER_S)
+            answer = await second.submit(make_job("a", 0.2, task_count=1))
+            assert answer.code is Code.OK
+            assert len(worker.runs) == 2
+            assert find_tasks_with_overlapping_runs([worker]) == []
+            nursery.cancel_scope.cancel()
+
+    run_on_deployment(test)
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_late_lease_requests_do_not_extend_runs_past_their_reported_end(
     run_on_mock_clock, seed
