Record two faults in a row after which runs outlast the time to send a job again

Cause: two leases follow each other. An agent learns of the death of an entry when its lease of 0.8 s ends, in a check every 0.2 s, and renews the lease of all runs at its worker until then. If the agent dies or the worker falls silent before the stops, the runs go on for the rest of that lease, 0.9 s. Together this is up to 1.9 s by the constants, and the caller sends the job again after 1.3 s.

Evidence, test_runs_of_a_dead_entry_end_in_time_if_their_agent_or_worker_fails_then, second fault 0.75 s after the first, both cases:

AssertionError: assert ['a.1', 'a.0', 'a.2', 'a.3'] == []

The last run ended 1.61 s after the entry had died.

Possible fixes, neither tried: shorter leases, which cost frames and endure less loss; or a lease at the worker that ends at most some 0.35 s after the first of the leases of the entries that have tasks there. As it is one lease for all runs, those of other entries end, too, if a stop is not confirmed in that time.

--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -121,6 +121,31 @@
     run_with_late_orders(test, seed=0)
 
 
+@pytest.mark.parametrize("fault", ["agent_killed", "worker_silent"])
+def test_runs_of_a_dead_entry_end_in_time_if_their_agent_or_worker_fails_then(
+    run_with_late_orders, fault
+):
+    # The lease at the worker was renewed until the second fault, and runs on after it.
+    async def test(deployment, workers):
+        first, second = deployment.entries
+        deployment.start_soon(
+            lambda: submit_and_discard_answer(first, make_job("a", 4.0))
+        )
+        await trio.sleep(0.3)
+        await deployment.kill_entry(first)
+        await trio.sleep(0.75)
+        if fault == "agent_killed":
+            deployment.kill_agent(workers[0].name)
+        else:
+            workers[0].is_unresponsive = True
+        await trio.sleep(RESUBMIT_AFTER_S - 0.75)
+        answer = await second.submit(make_job("a", 0.2))
+        assert answer.code is Code.OK
+        assert find_tasks_with_overlapping_runs(workers) == []
+
+    run_with_late_orders(test, seed=0)
+
+
 class BackendWithLateStops(FakeLeasedBackend):
     """Executes each request to stop a run LATE_STOP_S after it was sent."""
 
