End the runs of a dead entry in time if their agent or worker fails, too

It takes two faults within a second, such as series of killed processes cause.

Cause: two leases follow each other. An agent learns of the death of an entry when its lease of 0.8 s ends, in a check every 0.2 s, and until then it renews the lease of all runs at its worker for 0.9 s each time. If the agent dies or the worker falls silent before the stops, the runs go on for up to 1.9 s after the death of the entry. The caller sends the job again after 1.3 s.

Evidence, test_runs_of_a_dead_entry_end_in_time_if_their_agent_or_worker_fails_then on, second fault 0.5 and 0.75 s after the first, both kinds:

AssertionError: assert ['a.1', 'a.0', 'a.2', 'a.3'] == []

Why the fix works: the agent requests no lease at its worker that ends more than 0.35 s after the first of the leases of the entries with runs there, neither with a renewal nor with a start. Without any further request the runs so end 1.15 s after the death of the entry, 1.2 s by a clock that is 2% slow. While entries send frames, at least every 0.25 s, the limit is not lower than the 0.9 s of before.

A worker has one lease for all runs. So that those of other entries do not end, too, the agent stops the runs of the dead one when its lease ends, no longer up to 0.2 s later; with their ends the limit rises again. test_death_of_an_entry_does_not_end_the_runs_of_others guards this. If no stop is confirmed for 0.35 s, all runs at the worker lapse: ending a run too early costs less than running it twice.

Ruled out: shorter leases of entries, which need more frames and endure less loss.

--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -1,6 +1,7 @@
 """Runs tasks at the backend server on the same host, on behalf of all entries."""
 
 import collections
+import math
 import random
 import secrets
 import statistics
@@ -46,6 +47,7 @@
 from gooseberrylink.slot_allocator import SlotAllocator
 
 _MAINTENANCE_INTERVAL_S = 0.2
+_MIN_MAINTENANCE_INTERVAL_S = 0.02
 # How much longer the interval is while there is no work.
 _MAX_IDLE_WAIT_S = 0.8
 _DRAIN_POLL_S = 0.05
@@ -231,6 +233,26 @@
         declared = self._declared_worker()
         return declared is not None and declared.service == self.service
 
+    def run_lease_limit_s(self) -> float:
+        """Returns the time by which all running tasks must end unless it rises.
+
+        A lease at the backend server holds for all of its tasks, so it may outlast the
+        lease of no entry by more than max_run_after_lease_s. Otherwise the tasks of an
+        entry that died would go on for too long if this agent died before it stopped
+        them.
+        """
+        return self._first_lease_end_s() + self.settings.max_run_after_lease_s
+
+    def _first_lease_end_s(self) -> float:
+        """Returns when the first lease of an entry with running tasks ends."""
+        return min(
+            (
+                self.assignments.lease_end_s(record.entry_incarnation)
+                for record in self._running.values()
+            ),
+            default=math.inf,
+        )
+
     def _update_speed(self) -> None:
         """Measures how fast tasks run in relation to their expected time.
 
@@ -637,7 +659,7 @@
                 self._task_admitted = trio.Event()
                 with trio.move_on_after(_MAX_IDLE_WAIT_S):
                     await self._task_admitted.wait()
-            await trio.sleep(_MAINTENANCE_INTERVAL_S)
+            await trio.sleep(self._next_maintenance_interval_s())
             now_s = trio.current_time()
             self._stop_tasks_without_lease(now_s)
             self._update_speed()
@@ -646,6 +668,13 @@
             self._start_held(now_s)
             self.assignments.purge_expired(now_s)
 
+    def _next_maintenance_interval_s(self) -> float:
+        """Returns the time to the next check, which is due when a lease ends."""
+        lease_left_s = self._first_lease_end_s() - trio.current_time()
+        return min(
+            _MAINTENANCE_INTERVAL_S, max(_MIN_MAINTENANCE_INTERVAL_S, lease_left_s)
+        )
+
     def _reclassify_overruns(self, now_s: float) -> None:
         long_after_s = self.configuration.long_threshold_s(self.service)
         for assignment_id, record in self._running.items():
--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -332,13 +332,25 @@
         settings: LeaseSettings,
         metrics: Metrics,
         on_availability_change: Callable[[], None],
+        lease_limit_s: Callable[[], float] = lambda: math.inf,
     ):
+        """Creates a client that is not open yet.
+
+        Args:
+            client: Sends the requests.
+            fencing_token: Fencing token of this incarnation of the agent.
+            settings: Durations.
+            metrics: Counters of the agent.
+            on_availability_change: Called when is_open has changed.
+            lease_limit_s: Returns the time beyond which no lease may be requested now.
+        """
         self.is_open = False
         self._client = client
         self._fencing_token = FencingToken(fencing_token)
         self._settings = settings
         self._metrics = metrics
         self._on_availability_change = on_availability_change
+        self._lease_limit_s = lease_limit_s
         self._runs: dict[RunKey, _Run] = {}
         self._last_end_number = 0
         self._unanswered_start_count = 0
@@ -464,10 +476,11 @@
         server is taken to have ended.
         """
         for _ in range(_MAX_START_REQUESTS):
-            self._record_lease_end()
+            lease_s = self._next_lease_s()
+            self._record_lease_end(lease_s)
             fencing_token = self._fencing_token.value
             reply = await self._client.start(
-                run.key, payload, self._next_lease_end_ms(), fencing_token
+                run.key, payload, self._to_backend_clock_ms(lease_s), fencing_token
             )
             if reply is StartReply.UNANSWERED:
                 self._fencing_token.fence(fencing_token)
@@ -553,12 +566,14 @@
         # While the backend server does not reply, the lease is not renewed. A
         # renewal might be executed without a reply, and the agent could never be
         # certain that the lease has ended.
-        lease_end_ms = self._next_lease_end_ms() if self._is_responsive else None
+        lease_end_ms = None
         report_requested_s = trio.current_time()
-        if lease_end_ms is not None:
-            self._record_lease_end()
-        else:
+        lease_s = self._next_lease_s()
+        if not self._is_responsive:
             wait_s = 0.0
+        elif lease_s > 0:
+            lease_end_ms = self._to_backend_clock_ms(lease_s)
+            self._record_lease_end(lease_s)
         renewal = LeaseRenewal(
             self._fencing_token.value, self._last_end_number, lease_end_ms, wait_s
         )
@@ -720,16 +735,19 @@
         log_event("backend_opened" if is_open else "backend_closed")
         self._on_availability_change()
 
-    def _next_lease_end_ms(self) -> int:
+    def _next_lease_s(self) -> float:
+        """Returns how long the next lease may last; at most 0 if none is allowed."""
+        limit_s = self._lease_limit_s() - trio.current_time()
+        return min(self._settings.lease_s, limit_s)
+
+    def _to_backend_clock_ms(self, from_now_s: float) -> int:
         elapsed_s = trio.current_time() - self._clock_read_s
-        return self._backend_clock_ms + round(
-            1000 * (elapsed_s + self._settings.lease_s)
-        )
+        return self._backend_clock_ms + round(1000 * (elapsed_s + from_now_s))
 
-    def _record_lease_end(self) -> None:
-        settings = self._settings
-        lease_s = settings.lease_s * (1 + MAX_CLOCK_DRIFT) + settings.margin_s
-        self._lease_end_s = trio.current_time() + lease_s
+    def _record_lease_end(self, lease_s: float) -> None:
+        """Records when a lease has certainly ended; an earlier one may end later."""
+        duration_s = lease_s * (1 + MAX_CLOCK_DRIFT) + self._settings.margin_s
+        self._lease_end_s = max(self._lease_end_s, trio.current_time() + duration_s)
 
 
 def _refusal(reason: str, is_evidence: bool = False) -> BackendOutcome:
--- a/gooseberrylink/platform/common.py
+++ b/gooseberrylink/platform/common.py
@@ -28,13 +28,15 @@
 _METRICS_PORT = 9464
 _METRICS_CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 _SETTINGS_CHECK_INTERVAL_S = 1.0
-# The next four constants bound how long the tasks of a disconnected entry keep
+# The next five constants bound how long the tasks of a disconnected entry keep
 # running. They should end before a caller resubmits the job, which it does 1.3 s after
 # its connection broke.
 ENTRY_LEASE_S = 0.8
 _BUSY_HEARTBEAT_S = 0.25
 _IDLE_HEARTBEAT_S = 0.5
 _MAX_MISSED_HEARTBEATS = 3
+# How long runs may outlast the lease of their entry if their agent dies as well.
+MAX_RUN_AFTER_LEASE_S = 0.35
 # Time after an agent's link closed at which entries rerun its tasks.
 RERUN_AFTER_SILENCE_S = ENTRY_LEASE_S + 2 * LEASE_S
 # Time after an agent's end by which entries have done so, also if its link did not
--- a/gooseberrylink/standins/deployment.py
+++ b/gooseberrylink/standins/deployment.py
@@ -180,6 +180,7 @@
             LeaseSettings(),
             agent.metrics,
             agent.handle_availability_change,
+            agent.run_lease_limit_s,
         )
         agent.attach_backend(
             client,
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -121,9 +121,10 @@
     run_with_late_orders(test, seed=0)
 
 
+@pytest.mark.parametrize("delay_s", [0.3, 0.5, 0.75, 0.95])
 @pytest.mark.parametrize("fault", ["agent_killed", "worker_silent"])
 def test_runs_of_a_dead_entry_end_in_time_if_their_agent_or_worker_fails_then(
-    run_with_late_orders, fault
+    run_with_late_orders, fault, delay_s
 ):
     # The lease at the worker was renewed until the second fault, and runs on after it.
     async def test(deployment, workers):
@@ -133,12 +134,16 @@
         )
         await trio.sleep(0.3)
         await deployment.kill_entry(first)
-        await trio.sleep(0.75)
+        # The start of another task must not extend the lease of these, either.
+        await trio.sleep(delay_s - 0.05)
+        other_job = make_job("b", 4.0)
+        deployment.start_soon(lambda: submit_and_discard_answer(second, other_job))
+        await trio.sleep(0.05)
         if fault == "agent_killed":
             deployment.kill_agent(workers[0].name)
         else:
             workers[0].is_unresponsive = True
-        await trio.sleep(RESUBMIT_AFTER_S - 0.75)
+        await trio.sleep(RESUBMIT_AFTER_S - delay_s)
         answer = await second.submit(make_job("a", 0.2))
         assert answer.code is Code.OK
         assert find_tasks_with_overlapping_runs(workers) == []
@@ -146,6 +151,28 @@
     run_with_late_orders(test, seed=0)
 
 
+def test_death_of_an_entry_does_not_end_the_runs_of_others(run_with_late_orders):
+    async def test(deployment, workers):
+        first, second = deployment.entries
+        answers = []
+
+        async def submit_to_second():
+            answers.append(await second.submit(make_job("b", 4.0)))
+
+        deployment.start_soon(
+            lambda: submit_and_discard_answer(first, make_job("a", 4.0))
+        )
+        deployment.start_soon(submit_to_second)
+        await trio.sleep(0.3)
+        await deployment.kill_entry(first)
+        await trio.sleep(5.0)
+        assert [answer.code for answer in answers] == [Code.OK]
+        runs = [run for worker in workers for run in worker.runs]
+        assert sum(run.key.name.startswith("b") for run in runs) == 6
+
+    run_with_late_orders(test, seed=0)
+
+
 class BackendWithLateStops(FakeLeasedBackend):
     """Executes each request to stop a run LATE_STOP_S after it was sent."""
 
