--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -1,6 +1,7 @@
 """Runs tasks at the backend server on the same host, on behalf of all entries."""
 
 import collections
+import math
 import random
 import secrets
 import statistics
@@ -48,7 +49,9 @@
 from gooseberrylink.slot_allocator import SlotAllocator
 
 _MAINTENANCE_INTERVAL_S = 0.2
-_IDLE_MAINTENANCE_INTERVAL_S = 1.0
+_MIN_MAINTENANCE_INTERVAL_S = 0.02
+# How much longer the interval is while there is no work.
+_MAX_IDLE_WAIT_S = 0.8
 _DRAIN_POLL_S = 0.05
 # A task that its entry did not mark as holdable is held only while fewer tasks
 # than this are held.
@@ -101,6 +104,7 @@
         self._known_entries: set[str] = set(settings.entries)
         self._can_dial = False
         self._backend_opened = trio.Event()
+        self._task_admitted = trio.Event()
         self._nursery: trio.Nursery | None = None
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -233,6 +237,26 @@
         declared = self._declared_worker()
         return declared is not None and declared.service == self.service
 
+    def run_lease_limit_s(self) -> float:
+        """Returns the time by which all running tasks must end unless it rises.
+
+        A lease at the backend server holds for all of its tasks, so it may outlast the
+        lease of no entry by more than max_run_after_lease_s. Otherwise the tasks of an
+        entry that died would go on for too long if this agent died before it stopped
+        them.
+        """
+        return self._first_lease_end_s() + self.settings.max_run_after_lease_s
+
+    def _first_lease_end_s(self) -> float:
+        """Returns when the first lease of an entry with running tasks ends."""
+        return min(
+            (
+                self.assignments.lease_end_s(record.entry_incarnation)
+                for record in self._running.values()
+            ),
+            default=math.inf,
+        )
+
     def _update_speed(self) -> None:
         """Measures how fast tasks run in relation to their expected time.
 
@@ -355,6 +379,7 @@
             if record != "duplicate":
                 self._refuse(peer, assign.assignment_id, record)
             return
+        self._task_admitted.set()
         self._update_task_limit()
         reason = self._refusal_reason(assign, now_s)
         if reason is None:
@@ -644,10 +669,12 @@
 
     async def _run_maintenance(self) -> None:
         while True:
-            is_busy = self._running or self._held or self.health.is_quarantined
-            await trio.sleep(
-                _MAINTENANCE_INTERVAL_S if is_busy else _IDLE_MAINTENANCE_INTERVAL_S
-            )
+            if not (self._running or self._held or self.health.is_quarantined):
+                # The lease of a task may end soon after its assignment arrived.
+                self._task_admitted = trio.Event()
+                with trio.move_on_after(_MAX_IDLE_WAIT_S):
+                    await self._task_admitted.wait()
+            await trio.sleep(self._next_maintenance_interval_s())
             now_s = trio.current_time()
             self._stop_tasks_without_lease(now_s)
             self._update_speed()
@@ -656,6 +683,13 @@
             self._start_held(now_s)
             self.assignments.purge_expired(now_s)
 
+    def _next_maintenance_interval_s(self) -> float:
+        """Returns the time to the next check, which is due when a lease ends."""
+        lease_left_s = self._first_lease_end_s() - trio.current_time()
+        return min(
+            _MAINTENANCE_INTERVAL_S, max(_MIN_MAINTENANCE_INTERVAL_S, lease_left_s)
+        )
+
     def _reclassify_overruns(self, now_s: float) -> None:
         long_after_s = self.configuration.long_threshold_s(self.service)
         for assignment_id, record in self._running.items():
--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -50,6 +50,8 @@
 _MAX_START_REQUESTS = 5
 # Bound of the requests in flight to stop one run.
 _MAX_STOPS_IN_FLIGHT = 8
+# Longest wait for the end of an earlier run before another one of its task is refused.
+_MAX_EARLIER_RUN_WAIT_S = 0.5
 # Factor by which the pause before the next request to stop a run grows, so that a
 # silent backend server gets ever fewer.
 _STOP_PAUSE_GROWTH = 1.1
@@ -340,13 +342,25 @@
         settings: LeaseSettings,
         metrics: Metrics,
         on_availability_change: Callable[[], None],
+        lease_limit_s: Callable[[], float] = lambda: math.inf,
     ):
+        """Creates a client that is not open yet.
+
+        Args:
+            client: Sends the requests.
+            fencing_token: Fencing token of this incarnation of the agent.
+            settings: Durations.
+            metrics: Counters of the agent.
+            on_availability_change: Called when is_open has changed.
+            lease_limit_s: Returns the time beyond which no lease may be requested now.
+        """
         self.is_open = False
         self._client = client
         self._fencing_token = FencingToken(fencing_token)
         self._settings = settings
         self._metrics = metrics
         self._on_availability_change = on_availability_change
+        self._lease_limit_s = lease_limit_s
         self._runs: dict[RunKey, _Run] = {}
         self._last_end_number = 0
         self._unanswered_start_count = 0
@@ -406,7 +420,7 @@
             return _refusal("backend_not_open")
         now_s = trio.current_time()
         run = _Run(self._client.make_run_key(payload, attempt), task_id, now_s)
-        if run.key in self._runs:
+        if await self._wait_for_earlier_run(run.key.name):
             return _refusal("run_in_progress")
         run.was_backend_alive = now_s - self._last_sign_of_life_s < _CRASH_ON_START_S
         self._runs[run.key] = run
@@ -415,6 +429,23 @@
         finally:
             del self._runs[run.key]
 
+    async def _wait_for_earlier_run(self, name: str) -> bool:
+        """Waits for the end of a task's run that an earlier assignment started.
+
+        A job that is sent again numbers its runs from 1 again, so the earlier run may
+        have any number. The wait has a limit, and nothing is started after it, because
+        the permission to start may have ended meanwhile.
+
+        Returns:
+            Whether there was such a run.
+        """
+        for run in self._runs.values():
+            if run.key.name == name:
+                with trio.move_on_after(_MAX_EARLIER_RUN_WAIT_S):
+                    await run.ended.wait()
+                return True
+        return False
+
     def stop(self, task_id: str) -> None:
         """See BackendClient."""
         for run in self._runs.values():
@@ -458,10 +489,11 @@
         server is taken to have ended.
         """
         for _ in range(_MAX_START_REQUESTS):
-            self._record_lease_end()
+            lease_s = self._next_lease_s()
+            self._record_lease_end(lease_s)
             fencing_token = self._fencing_token.value
             reply = await self._client.start(
-                run.key, payload, self._next_lease_end_ms(), fencing_token
+                run.key, payload, self._to_backend_clock_ms(lease_s), fencing_token
             )
             if reply is StartReply.UNANSWERED:
                 self._fencing_token.fence(fencing_token)
@@ -554,12 +586,14 @@
         # While the backend server does not reply, the lease is not renewed. A
         # renewal might be executed without a reply, and the agent could never be
         # certain that the lease has ended.
-        lease_end_ms = self._next_lease_end_ms() if self._is_responsive else None
+        lease_end_ms = None
         report_requested_s = trio.current_time()
-        if lease_end_ms is not None:
-            self._record_lease_end()
-        else:
+        lease_s = self._next_lease_s()
+        if not self._is_responsive:
             wait_s = 0.0
+        elif lease_s > 0:
+            lease_end_ms = self._to_backend_clock_ms(lease_s)
+            self._record_lease_end(lease_s)
         renewal = LeaseRenewal(
             self._fencing_token.value, self._last_end_number, lease_end_ms, wait_s
         )
@@ -722,16 +756,19 @@
         log_event("backend_opened" if is_open else "backend_closed")
         self._on_availability_change()
 
-    def _next_lease_end_ms(self) -> int:
+    def _next_lease_s(self) -> float:
+        """Returns how long the next lease may last; at most 0 if none is allowed."""
+        limit_s = self._lease_limit_s() - trio.current_time()
+        return min(self._settings.lease_s, limit_s)
+
+    def _to_backend_clock_ms(self, from_now_s: float) -> int:
         elapsed_s = trio.current_time() - self._clock_read_s
-        return self._backend_clock_ms + round(
-            1000 * (elapsed_s + self._settings.lease_s)
-        )
+        return self._backend_clock_ms + round(1000 * (elapsed_s + from_now_s))
 
-    def _record_lease_end(self) -> None:
-        settings = self._settings
-        lease_s = settings.lease_s * (1 + MAX_CLOCK_DRIFT) + settings.margin_s
-        self._lease_end_s = trio.current_time() + lease_s
+    def _record_lease_end(self, lease_s: float) -> None:
+        """Records when a lease has certainly ended; an earlier one may end later."""
+        duration_s = lease_s * (1 + MAX_CLOCK_DRIFT) + self._settings.margin_s
+        self._lease_end_s = max(self._lease_end_s, trio.current_time() + duration_s)
 
 
 def _may_have_crashed_backend(run: _Run) -> bool:
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -6,10 +6,12 @@
 import trio
 
 from gooseberrylink.backends.leased import (
+    ControlReply,
     EndKind,
     LeasedBackendClient,
     LeaseSettings,
 )
+from gooseberrylink.codes import Code
 from gooseberrylink.metrics import Metrics
 from gooseberrylink.platform.common import link_settings
 from gooseberrylink.resources import Resources
@@ -21,8 +23,11 @@
 
 # Time after which a caller resubmits a job whose connection broke.
 RESUBMIT_AFTER_S = 1.3
+# Age of an assignment at its arrival.
+DELAY_S = 0.7
 # Time after which no late request is left.
 LATE_REQUESTS_S = 12.0
+LATE_STOP_S = 2.0
 
 
 def make_job(label: str, run_s: float, task_count: int = 6) -> JobRequest:
@@ -87,6 +92,123 @@
     run_with_late_orders(test, seed)
 
 
+@pytest.mark.parametrize("idle_s", [0.0, 0.2, 0.4, 0.6, 0.8])
+def test_task_whose_assignment_was_delayed_ends_with_the_lease_of_its_entry(
+    run_with_late_orders, idle_s
+):
+    # The entry falls silent for good after it has sent the assignment.
+    async def test(deployment, workers):
+        first, second = deployment.entries
+        await trio.sleep(2.0 + idle_s)
+        connections = deployment.network.find_open_connections(
+            address=first.address_for_agents
+        )
+        for connection in connections:
+            connection.agent_end.pause_delivery()
+        with trio.move_on_after(0.01):
+            await first.submit(make_job("a", 4.0))
+        for worker in workers:
+            deployment.network.partition(worker.name, first.address_for_agents)
+        await trio.sleep(DELAY_S)
+        for connection in connections:
+            connection.agent_end.resume_delivery()
+        await trio.sleep(RESUBMIT_AFTER_S - DELAY_S)
+        assert sum(len(worker.runs) for worker in workers) == 6
+        answer = await second.submit(make_job("a", 0.2))
+        assert answer.code is Code.OK
+        assert find_tasks_with_overlapping_runs(workers) == []
+
+    run_with_late_orders(test, seed=0)
+
+
+@pytest.mark.parametrize("delay_s", [0.3, 0.5, 0.75, 0.95])
+@pytest.mark.parametrize("fault", ["agent_killed", "worker_silent"])
+def test_runs_of_a_dead_entry_end_in_time_if_their_agent_or_worker_fails_then(
+    run_with_late_orders, fault, delay_s
+):
+    # The lease at the worker was renewed until the second fault, and runs on after it.
+    async def test(deployment, workers):
+        first, second = deployment.entries
+        deployment.start_soon(
+            lambda: submit_and_discard_answer(first, make_job("a", 4.0))
+        )
+        await trio.sleep(0.3)
+        await deployment.kill_entry(first)
+        # The start of another task must not extend the lease of these, either.
+        await trio.sleep(delay_s - 0.05)
+        other_job = make_job("b", 4.0)
+        deployment.start_soon(lambda: submit_and_discard_answer(second, other_job))
+        await trio.sleep(0.05)
+        if fault == "agent_killed":
+            deployment.kill_agent(workers[0].name)
+        else:
+            workers[0].is_unresponsive = True
+        await trio.sleep(RESUBMIT_AFTER_S - delay_s)
+        answer = await second.submit(make_job("a", 0.2))
+        assert answer.code is Code.OK
+        assert find_tasks_with_overlapping_runs(workers) == []
+
+    run_with_late_orders(test, seed=0)
+
+
+def test_death_of_an_entry_does_not_end_the_runs_of_others(run_with_late_orders):
+    async def test(deployment, workers):
+        first, second = deployment.entries
+        answers = []
+
+        async def submit_to_second():
+            answers.append(await second.submit(make_job("b", 4.0)))
+
+        deployment.start_soon(
+            lambda: submit_and_discard_answer(first, make_job("a", 4.0))
+        )
+        deployment.start_soon(submit_to_second)
+        await trio.sleep(0.3)
+        await deployment.kill_entry(first)
+        await trio.sleep(5.0)
+        assert [answer.code for answer in answers] == [Code.OK]
+        runs = [run for worker in workers for run in worker.runs]
+        assert sum(run.key.name.startswith("b") for run in runs) == 6
+
+    run_with_late_orders(test, seed=0)
+
+
+class BackendWithLateStops(FakeLeasedBackend):
+    """Executes each request to stop a run LATE_STOP_S after it was sent."""
+
+    async def stop(self, key, fencing_token):
+        self._nursery.start_soon(
+            self._execute_later, lambda: self._stop(key, fencing_token), LATE_STOP_S
+        )
+        await trio.sleep(0.25)
+        return ControlReply.UNANSWERED
+
+
+def test_worker_is_not_asked_for_a_second_run_of_a_task_whose_first_goes_on(
+    run_on_deployment,
+):
+    async def test(deployment):
+        async with trio.open_nursery() as nursery:
+            first, second = [
+                await deployment.add_entry(f"entry-{number}", **link_settings())
+                for number in range(2)
+            ]
+            worker = BackendWithLateStops("tank-1", nursery)
+            nursery.start_soon(worker.advance_runs)
+            await deployment.add_agent_with_leases(worker, **link_settings())
+            await deployment.wait_connected()
+            with trio.move_on_after(0.3):
+                await first.submit(make_job("a", 4.0, task_count=1))
+            await trio.sleep(RESUBMIT_AFTER_S)
+            answer = await second.submit(make_job("a", 0.2, task_count=1))
+            assert answer.code is Code.OK
+            assert len(worker.runs) == 2
+            assert find_tasks_with_overlapping_runs([worker]) == []
+            nursery.cancel_scope.cancel()
+
+    run_on_deployment(test)
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_late_lease_requests_do_not_extend_runs_past_their_reported_end(
     run_on_mock_clock, seed
