Apply the capacity that a later heartbeat states

What callers could see: tasks of a worker that was overloaded after its capacity had shrunk, and a worker left idle in part after its capacity had grown.

Cause: of a later heartbeat of the same incarnation, IncarnationTracker took only the sequence number and the state. The agent used the capacity of the first heartbeat for as long as the backend server ran, and stored it for its own restart.

Why the fix works: the capacity of a heartbeat with a newer sequence number becomes part of the current announcement, from which the agent and the store take theirs. The agent already recomputes the free resources from its running tasks, which include those that are being stopped, whenever an announcement is applied. Free memory and accelerators are negative while more is in use than there is. Agent and entry compare them in the same way, so neither starts a task there, even one without memory, until they are not negative any more. A draining heartbeat detaches the backend server first, so that it can't start held tasks.

Ruled out: applying the whole announcement. The client keeps sending requests to the address of the first heartbeat, so another address must not be taken over without a new client. Reporting negative amounts to entries as 0: entries would assign tasks without memory that the agent refuses.

--- a/gooseberrylink/backends/incarnations.py
+++ b/gooseberrylink/backends/incarnations.py
@@ -18,6 +18,8 @@
     ) -> None:
         """Handles a heartbeat.
 
+        The capacity of an incarnation may change from one heartbeat to the next.
+
         Args:
             announcement: The announcement in the heartbeat.
             sequence: Number of the heartbeat, which increases within an incarnation.
@@ -90,6 +92,7 @@
         current.sequence = sequence
         if is_draining:
             self._detach(current, "draining")
+        self._update_capacity(current, announcement)
 
     def handle_deregistration(self, incarnation: str) -> None:
         """See AnnouncementReceiver."""
@@ -149,6 +152,33 @@
         else:
             self._agent.update_announcement(announcement)
 
+    def _update_capacity(
+        self, current: _CurrentIncarnation, announcement: Announcement
+    ) -> None:
+        """Applies the capacity in a later heartbeat of the current incarnation."""
+        known = current.announcement
+        updated = dataclasses.replace(
+            known,
+            slots=announcement.slots,
+            memory_mb=announcement.memory_mb,
+            gpus=announcement.gpus,
+            task_units=announcement.task_units,
+        )
+        if updated == known:
+            return
+        current.announcement = updated
+        log_event(
+            "backend_capacity_changed",
+            incarnation=updated.incarnation,
+            slots=updated.slots,
+            memory_mb=updated.memory_mb,
+            gpus=updated.gpus,
+            previous_slots=known.slots,
+            previous_memory_mb=known.memory_mb,
+            previous_gpus=known.gpus,
+        )
+        self._agent.update_announcement(updated)
+
     def _replace(self, announcement: Announcement, sequence: int) -> None:
         current = self._current
         if current is not None:
--- a/gooseberrylink/standins/deployment.py
+++ b/gooseberrylink/standins/deployment.py
@@ -7,6 +7,7 @@
 
 from gooseberrylink.agent import Agent
 from gooseberrylink.backends.client import Announcement
+from gooseberrylink.backends.incarnations import IncarnationTracker
 from gooseberrylink.backends.leased import LeasedBackendClient, LeaseSettings
 from gooseberrylink.entry import Entry
 from gooseberrylink.operators.configuration_store import ConfigurationStore
@@ -79,6 +80,7 @@
         service: Service of all backend servers.
         entries: Running entries.
         agents: Running agents, by worker.
+        incarnations: Receivers of the heartbeats of leased backend servers, by worker.
         backends: Every FakeBackend that was ever attached. Tests check the answers
             that callers get against their logs of starts.
     """
@@ -95,6 +97,7 @@
         self.platform = platform or FakePlatform()
         self.entries: list[Entry] = []
         self.agents: dict[str, Agent] = {}
+        self.incarnations: dict[str, IncarnationTracker] = {}
         self.backends: list[FakeBackend] = []
         self._nursery = nursery
         self._cancel_scopes: dict[Entry | Agent, trio.CancelScope] = {}
@@ -149,12 +152,15 @@
         backend: FakeLeasedBackend,
         fencing_token: int = 1,
         host: Host = Host(),
+        memory_mb: int = 0,
+        gpus: int = 0,
         **settings,
     ) -> Agent:
         """Starts an agent beside a backend server that runs tasks under a lease.
 
         By default, the leases of the entries at this agent and the heartbeat
-        intervals are short; settings override the defaults.
+        intervals are short; settings override the defaults. The first heartbeat of
+        the backend server has number 0.
         """
         values = {
             "worker": backend.name,
@@ -181,16 +187,18 @@
             agent.metrics,
             agent.handle_availability_change,
         )
-        agent.attach_backend(
-            client,
-            Announcement(
-                self.service,
-                "fake:1",
-                backend.capacity_units,
-                hardware=host.hardware,
-                rack=host.rack,
-            ),
+        incarnations = IncarnationTracker(agent, lambda _: client)
+        self.incarnations[backend.name] = incarnations
+        announcement = Announcement(
+            self.service,
+            "fake:1",
+            backend.capacity_units,
+            memory_mb=memory_mb,
+            gpus=gpus,
+            hardware=host.hardware,
+            rack=host.rack,
         )
+        incarnations.handle_announcement(announcement, 0, is_draining=False)
         return agent
 
     def attach_backend(
--- a/tests/test_announcement_store.py
+++ b/tests/test_announcement_store.py
@@ -1,5 +1,6 @@
 """A restarted agent restores the announcement of its backend server."""
 
+import dataclasses
 import math
 
 import pytest
@@ -16,7 +17,7 @@
 
 
 class FakeAgent:
-    """Records which backend servers are attached and detached."""
+    """Records which backend servers are attached, updated and detached."""
 
     def __init__(self):
         self.metrics = Metrics("agent", "tank-1")
@@ -25,6 +26,9 @@
     def attach_backend(self, backend, announcement):
         self.calls.append(announcement)
 
+    def update_announcement(self, announcement):
+        self.calls.append(announcement)
+
     def detach_backend(self, reason):
         self.calls.append(reason)
 
@@ -88,6 +92,64 @@
     run_with_store(test)
 
 
+SHRUNK = dataclasses.replace(make_announcement(), slots=8_000)
+
+
+def test_capacity_that_changed_is_restored(run_with_store):
+    # The stored announcement was the first one of the incarnation.
+    async def test(standin, store, nursery):
+        _, earlier = make_announcement_store(store)
+        nursery.start_soon(earlier.run)
+        earlier.handle_announcement(make_announcement(), 1, False)
+        earlier.handle_announcement(SHRUNK, 2, False)
+        while b'"slots":8000' not in (standin.get_value(TABLE, "tank-1") or b""):
+            await trio.sleep(0.01)
+        agent, announcement_store = make_announcement_store(store)
+        await announcement_store.restore(
+            lambda _: FakeRunClient(make_report(100)), TOKEN
+        )
+        assert agent.calls == [SHRUNK]
+
+    run_with_store(test)
+
+
+def test_first_heartbeat_after_a_restore_replaces_the_capacity(run_with_store):
+    # The row is out of date if the store was down when the capacity changed.
+    async def test(standin, store, nursery):
+        await store_announcement(standin, store, nursery)
+        agent, announcement_store = make_announcement_store(store)
+        await announcement_store.restore(
+            lambda _: FakeRunClient(make_report(100)), TOKEN
+        )
+        announcement_store.handle_announcement(SHRUNK, 1, False)
+        assert agent.calls == [make_announcement(), SHRUNK]
+
+    run_with_store(test)
+
+
+def test_unchanged_heartbeats_write_nothing(run_on_mock_clock):
+    class CountingStore:
+        def __init__(self):
+            self.values = []
+
+        async def put(self, table, key, value):
+            self.values.append(value)
+
+    async def main():
+        store = CountingStore()
+        async with trio.open_nursery() as nursery:
+            _, announcement_store = make_announcement_store(store)
+            nursery.start_soon(announcement_store.run)
+            for sequence in range(20):
+                announcement = SHRUNK if sequence >= 10 else make_announcement()
+                announcement_store.handle_announcement(announcement, sequence, False)
+                await trio.sleep(0.1)
+            nursery.cancel_scope.cancel()
+        assert len(store.values) == 2
+
+    run_on_mock_clock(main)
+
+
 @pytest.mark.parametrize(
     "reply",
     [make_report(101), ControlReply.OTHER_INCARNATION, ControlReply.UNANSWERED],
--- a/tests/test_slot_allocator.py
+++ b/tests/test_slot_allocator.py
@@ -57,6 +57,18 @@
     assert allocator.free_units_for("a") + allocator.free_units_for("b") == 1
 
 
+def test_slots_in_use_beyond_a_smaller_number_are_not_credited_again(allocator):
+    for _ in range(6):
+        allocator.allocate("a", False, 0.0)
+    allocator.resize(2)
+    for _ in range(4):
+        assert (allocator.idle_units(), allocator.free_units_for("a")) == (0, 0)
+        assert allocator.release("a", False, 0.1) is None
+    assert (allocator.idle_units(), allocator.free_units_for("a")) == (0, 0)
+    allocator.release("a", False, 0.2)
+    assert (allocator.free_units_for("a"), allocator.free_units_for("b")) == (1, 0)
+
+
 def test_slots_are_reserved_for_short_tasks_while_these_are_frequent(allocator):
     for _ in range(4):
         allocator.allocate("a", False, now_s=0.0)
