Refuse held tasks that no longer fit a shrunk capacity

What callers could see: a job answered as expired although another worker was idle, and other tasks that waited behind it.

Cause: an agent starts held tasks in order. One that needs more than the whole capacity stayed at the head until its deadline. Held tasks were also started only when a run ended or at the next maintenance, 0.2 s later, when the capacity had grown.

Why the fix works: whenever the slots change, the agent refuses the held tasks that its total resources don't cover, as not started, and then starts those that fit. A new assignment that they don't cover is refused in the same way instead of held.

Ruled out: starting tasks past a head that does not fit at present. It would then wait behind ever smaller ones; only one that can't fit at all is taken out.

--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -197,6 +197,9 @@
         self._update_task_limit()
         if reason:
             self._drop_all_held(reason)
+        else:
+            self._drop_held_too_large()
+            self._start_held(trio.current_time())
         self._wake_all_senders()
 
     def _allowed_slots(self) -> int:
@@ -363,7 +366,9 @@
 
     def _refusal_reason(self, assign: Assign, now_s: float) -> str | None:
         if not self.allocator.slots:
-            return self._unavailable_reason() or "full"
+            return self._unavailable_reason() or "too_large"
+        if not self.resources.covers(assign.resources):
+            return "too_large"
         has_capacity = self.allocator.fits(assign.resources)
         if assign.is_long and not assign.is_holdable:
             has_capacity = (
@@ -559,12 +564,25 @@
                 self._refuse(peer, record.assignment_id, "lease_lapsed")
 
     def _drop_all_held(self, reason: str) -> None:
+        self._drop_held(list(self._held), reason)
+
+    def _drop_held_too_large(self) -> None:
+        """Refuses held tasks that no longer fit even if nothing else runs."""
+        too_large = [
+            record
+            for record in self._held
+            if record.state is RecordState.HELD
+            and not self.resources.covers(record.assign.resources)
+        ]
+        self._drop_held(too_large, "too_large")
+
+    def _drop_held(self, records: list[AssignmentRecord], reason: str) -> None:
         now_s = trio.current_time()
-        while self._held:
-            record = self._held.popleft()
-            peer = self._find_peer(record)
+        for record in records:
+            self._held.remove(record)
             if record.state is RecordState.HELD:
                 self.assignments.replace_with_tombstone(record, reason, now_s)
+                peer = self._find_peer(record)
                 if peer is not None:
                     self._refuse(peer, record.assignment_id, reason)
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -384,3 +384,42 @@
         assert lines == [("backend_capacity_changed", fields)]
 
     run_with_worker(test)
+
+
+def test_held_task_larger_than_a_shrunk_capacity_runs_elsewhere(run_with_worker):
+    # It was started over the capacity; with the capacity observed, it would keep the
+    # tasks held behind it waiting until its deadline.
+    async def test(capacity, worker):
+        capacity.submit("first", *[0.5] * 8)
+        await trio.sleep(0.1)
+        capacity.submit("wide", 0.1, resources=Resources(6, 100, 1))
+        await trio.sleep(0.05)
+        capacity.submit("small", 0.1)
+        await trio.sleep(0.05)
+        assert len(capacity.agent._held) == 2
+        other = await capacity.add_worker("tank-2")
+        shrunk = Resources(4, 400, 4)
+        capacity.announce(shrunk)
+        shrunk_s = trio.current_time()
+        await capacity.wait_for_answers("first", "wide", "small")
+        assert trio.current_time() - shrunk_s < 1.0
+        assert [run.key.name for run in other.runs] == ["wide.0"]
+        used = capacity.used_at_starts(worker, shrunk_s)
+        assert used
+        assert [each for each in used if not shrunk.covers(each)] == []
+
+    run_with_worker(test, policy="least-in-flight")
+
+
+def test_held_tasks_start_when_the_capacity_grows(run_with_worker):
+    async def test(capacity, worker):
+        capacity.announce(Resources(4, 400, 4))
+        await trio.sleep(0.1)
+        capacity.submit("a", *[1.0] * 8)
+        await trio.sleep(0.25)
+        assert capacity.used_resources(worker, trio.current_time()).units == 4
+        capacity.announce(FULL)
+        await trio.sleep(0.01)
+        assert capacity.used_resources(worker, trio.current_time()) == FULL
+
+    run_with_worker(test, policy="least-in-flight")
