Give a Retry-After with a refusal for a capacity that shrank

What callers could see: code 121 without a Retry-After, which docs/ERRORS.md explained as "send again only if larger workers come", while every worker that could serve the job had only shrunk for some time.

Cause: the entry compared a task with the capacities that agents last reported, and knew no others.

Evidence, on the commit before:

test_task_too_large_for_a_shrunk_capacity_may_be_sent_again assert refused.retry_after_s AssertionError: assert None

Why the fix works: the entry also keeps the most that each backend server had of each resource. A task within that may fit again, and is refused with Retry-After 1 s, as when no backend server is connected. A task beyond it is refused without one, as before. An agent that reports no units has no backend server or one that shrank to nothing; what was known of it is dropped, because the next one may be of another kind.

Ruled out: another code. 121 is right in both cases, as the task did not run and no worker has the capacity at present. A Retry-After with each 121: callers would repeat jobs that can't be served. Keeping such jobs in the queue: the entry can't tell when the capacity grows.

--- a/gooseberrylink/admission.py
+++ b/gooseberrylink/admission.py
@@ -195,14 +195,16 @@
             raise RefusedError(Code.NO_BACKEND_SERVER, detail, _MIN_RETRY_AFTER_S)
         distinct_resources = {spec.resources for spec in request.tasks}
         for resources in distinct_resources:
-            if not pool.can_ever_fit(resources):
+            if not pool.can_fit(resources):
                 detail = (
                     f"no backend server of service {request.service} has the capacity"
-                    f" for a task of {resources.units} units,"
+                    f" at present for a task of {resources.units} units,"
                     f" {resources.memory_mb} MB of memory and {resources.gpus}"
                     " accelerators"
                 )
-                raise RefusedError(Code.TASK_TOO_LARGE, detail)
+                may_fit_later = pool.may_fit_later(resources)
+                retry_after_s = _MIN_RETRY_AFTER_S if may_fit_later else None
+                raise RefusedError(Code.TASK_TOO_LARGE, detail, retry_after_s)
 
     def _check_capacity(
         self,
--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -61,6 +61,8 @@
         config_version: Configuration version in force at the agent, as last
             reported.
         capacity: Total resources of the backend server, as last reported.
+        largest_capacity: The most that it had of each resource since the agent last
+            reported that there was none.
         host: Host of the backend server, as last reported.
         units_in_flight: Units of resources that the tasks in flight use.
     """
@@ -89,6 +91,7 @@
         self._units_sent = 0
         self._units_received = 0
         self.capacity = NO_RESOURCES
+        self.largest_capacity = NO_RESOURCES
         self._speed = 0.0
         self._speed_reported_s = float("-inf")
         self.free_memory_mb = 0
@@ -233,8 +236,8 @@
         self.data_centre = hello.data_centre
         self.service = hello.service
         self.slots = hello.slots
-        self.capacity = Resources(
-            hello.slots, self.capacity.memory_mb, self.capacity.gpus
+        self._record_capacity(
+            Resources(hello.slots, self.capacity.memory_mb, self.capacity.gpus)
         )
         self._record_agent_clock(hello.clock_s)
         self._free_units = self._free_long_units = 0
@@ -319,7 +322,7 @@
         self._units_received = frame.units_received
         self.free_memory_mb = frame.free_memory_mb
         self.free_gpus = frame.free_gpus
-        self.capacity = Resources(frame.slots, frame.memory_mb, frame.gpus)
+        self._record_capacity(Resources(frame.slots, frame.memory_mb, frame.gpus))
         if frame.host is not None:
             self.host = frame.host
         if frame.speed > 0:
@@ -338,6 +341,11 @@
                     self._entry.adopt(item.version, decompress_update(item), "agent")
         self._entry.dispatcher.assign_queued_tasks(self.service)
 
+    def _record_capacity(self, capacity: Resources) -> None:
+        # The next backend server may be smaller.
+        largest = self.largest_capacity if capacity.units else NO_RESOURCES
+        self.capacity, self.largest_capacity = capacity, largest.maximum(capacity)
+
     def _update_backend(self, frame: AgentFrame) -> None:
         self.slots = frame.slots
         self.is_quarantined = frame.is_quarantined
--- a/gooseberrylink/resources.py
+++ b/gooseberrylink/resources.py
@@ -40,6 +40,14 @@
             self.gpus + other.gpus,
         )
 
+    def maximum(self, other: "Resources") -> "Resources":
+        """Returns the larger amount of each resource."""
+        return Resources(
+            max(self.units, other.units),
+            max(self.memory_mb, other.memory_mb),
+            max(self.gpus, other.gpus),
+        )
+
     def covers(self, other: "Resources") -> bool:
         """Returns whether other fits within these resources."""
         return (
--- a/gooseberrylink/service_pool.py
+++ b/gooseberrylink/service_pool.py
@@ -51,12 +51,19 @@
         """Returns whether any agent with a backend server is connected."""
         return any(peer.can_serve for peer in self.peers)
 
-    def can_ever_fit(self, resources: Resources) -> bool:
+    def can_fit(self, resources: Resources) -> bool:
         """Returns whether a task fits into some backend server when it is idle."""
         return any(
             peer.can_serve and peer.capacity.covers(resources) for peer in self.peers
         )
 
+    def may_fit_later(self, resources: Resources) -> bool:
+        """Returns whether a task would fit if each capacity grew to its former size."""
+        return any(
+            peer.can_serve and peer.largest_capacity.covers(resources)
+            for peer in self.peers
+        )
+
     def record_task_units(self, units: int) -> None:
         """Updates the average number of units per task with one task."""
         rate = _UNITS_LEARNING_RATE if self.mean_task_units else 1.0
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -423,3 +423,24 @@
         assert capacity.used_resources(worker, trio.current_time()) == FULL
 
     run_with_worker(test, policy="least-in-flight")
+
+
+def test_task_too_large_for_a_shrunk_capacity_may_be_sent_again(run_with_worker):
+    # The refusal said that a larger worker is needed.
+    async def test(capacity, worker):
+        wide = Resources(6, 600, 6)
+        capacity.announce(Resources(4, 800, 8))
+        await trio.sleep(0.1)
+        refused = await submit_and_wait(capacity, "refused", wide)
+        assert (refused.code, refused.execution_status.value) == (
+            Code.TASK_TOO_LARGE,
+            "not run",
+        )
+        assert refused.retry_after_s
+        too_large = await submit_and_wait(capacity, "too-large", Resources(9))
+        assert (too_large.code, too_large.retry_after_s) == (Code.TASK_TOO_LARGE, None)
+        capacity.announce(FULL)
+        await trio.sleep(0.1)
+        assert (await submit_and_wait(capacity, "accepted", wide)).code is Code.OK
+
+    run_with_worker(test)
