Let tasks that may crash a worker wait while many workers are down

Jobs that had nothing to do with them were refused for want of workers.

Cause: suspects were assigned again at once, faster than the crashed workers came back, which takes some three seconds.

Why the fix works: an entry assigns a suspect only while at most a fifth of the workers, or one, may have crashed: those that stopped serving within the last 10 s, and those where another suspect is in flight for less than the 0.8 s in which a crash shows. Workers that left for good so count for 10 s only. Suspects wait in the queue until workers are back or their job expires, and hold back no other task.

Ruled out: giving up the jobs of all suspects at once. Most of them are sound.

--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -38,6 +38,11 @@
 # Time for which a worker is on trial after the assignment of a task that may crash it:
 # tasks that do so crash it within some milliseconds.
 _TRIAL_S = 0.25
+# Time after which the agent of a worker that crashed has reported that it is silent.
+_CRASH_REPORTED_AFTER_S = 0.8
+# A worker that stopped serving counts as recovering for this time. Crashed ones are
+# back after some seconds; those that left are not.
+_RECOVERY_S = 10.0
 # A slow worker gets no tasks and so reports no new speed. Once its last report is
 # older than this, the worker is tried again.
 _SPEED_VALID_S = 2.0
@@ -102,6 +107,7 @@
         self.host = Host()
         self.units_in_flight = 0
         self._trial_ends_s = float("-inf")
+        self._stopped_serving_s = float("-inf")
         self._pending_acks: list[str] = []
         self.config_version = 0
 
@@ -185,6 +191,15 @@
         """Returns whether it was just assigned a task that may crash its worker."""
         return now_s < self._trial_ends_s
 
+    def may_have_crashed(self, now_s: float) -> bool:
+        """Returns whether its worker stopped serving lately, or may be about to."""
+        if not self.slots:
+            return now_s - self._stopped_serving_s < _RECOVERY_S
+        return any(
+            task.is_crash_suspect and now_s - task.assigned_s < _CRASH_REPORTED_AFTER_S
+            for task in self.tasks_in_flight.values()
+        )
+
     def recent_speed(self, now_s: float) -> float | None:
         """Returns the speed that the agent last reported; None if it is out of date."""
         if now_s - self._speed_reported_s > _SPEED_VALID_S:
@@ -360,6 +375,8 @@
         self.capacity, self.largest_capacity = capacity, largest.maximum(capacity)
 
     def _update_backend(self, frame: AgentFrame) -> None:
+        if self.slots and not frame.slots:
+            self._stopped_serving_s = self.last_frame_s
         self.slots = frame.slots
         self.is_quarantined = frame.is_quarantined
         if frame.service != self.service:
--- a/gooseberrylink/routing.py
+++ b/gooseberrylink/routing.py
@@ -22,6 +22,9 @@
 # A worker gets the first task of a job that will be late only if its free units are at
 # least this multiple of its units in flight.
 _SPARE_CAPACITY_FACTOR = 2.0
+# Share of the workers that may have crashed lately when another task that may crash
+# one is assigned; in a small service one worker.
+_MAX_CRASHED_SHARE = 0.2
 
 
 def remote_factor(spec: TaskSpec, host: Host, settings: EntrySettings) -> float:
@@ -126,6 +129,8 @@
         self, task: Task, peers: list[AgentPeer], now_s: float
     ) -> AgentPeer | None:
         """See RoutingPolicy."""
+        if task.is_crash_suspect and _is_trial_limit_reached(peers, now_s):
+            return None
         if task.avoided_workers:
             # It would probably fail or hang there again.
             others = [peer for peer in peers if peer.worker not in task.avoided_workers]
@@ -233,6 +238,16 @@
         return score
 
 
+def _is_trial_limit_reached(peers: list[AgentPeer], now_s: float) -> bool:
+    """Returns whether tasks that may crash a worker have to wait.
+
+    Load pattern: tasks that crash workers arrive faster than the workers come back.
+    Suspects then wait, so that the workers that are left serve the other tasks.
+    """
+    crashed_count = sum(peer.may_have_crashed(now_s) for peer in peers)
+    return crashed_count > max(1.0, _MAX_CRASHED_SHARE * len(peers))
+
+
 def _choose_for_suspect(eligible: list[AgentPeer], now_s: float) -> AgentPeer | None:
     """Chooses a worker for a task that may crash it.
 
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -1,5 +1,7 @@
 """Tests tasks that crash each worker that starts them."""
 
+import functools
+
 import pytest
 import trio
 
@@ -138,6 +140,29 @@
     run_deployment_with_leases(test, seed=seed)
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_tasks_that_crash_workers_leave_most_workers_to_others(
+    run_deployment_with_leases, seed
+):
+    # Suspects were assigned again at once, and crashed more workers before the first
+    # ones were back (seen in a day with deadly tasks on bennani-eau, seconds 13 to 20).
+    async def test(deployment, workers):
+        (entry,) = deployment.entries
+        for number in range(3):
+            crashing = make_crashing_job(f"a{number}", *[0.1] * 2)
+            deployment.start_soon(
+                functools.partial(submit_and_discard_answer, entry, crashing)
+            )
+        down_counts = []
+        for _ in range(100):
+            await trio.sleep(0.1)
+            down_counts.append(sum(worker.is_unresponsive for worker in workers))
+        assert max(down_counts) <= 3
+        assert sorted(set(find_crashes(workers))) == ["a0.0", "a1.0", "a2.0"]
+
+    run_deployment_with_leases(test, workers=10, seed=seed)
+
+
 @pytest.mark.parametrize("killed_after_s", [0.1, 0.6, 1.5])
 def test_job_sent_again_does_not_crash_three_more_workers(
     run_deployment_with_leases, killed_after_s
