Record a start that takes effect after a restart although its stop was confirmed

Cause: a start without a reply may be executed seconds later. Two things bar it once its run is reported as not started: the confirmed stop and the higher fencing token. A worker that restarts under its id knows neither. Until the agent's next request reaches it, at most one interval of renewals later, it accepts the start.

Evidence, test_start_that_a_restarted_backend_server_executes_late_has_no_effect, restart 0.01 s before the execution; the run lasts for 0.19 s, until the agent finds and stops it:

AssertionError: assert [RecordedRun(...: 'stopped'>)] == []

No small fix: a start names the worker's id but not its incarnation, so the agent can't exclude a later one, and to report no end until the longest delay has passed would hold the task back for seconds.

--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -575,3 +575,27 @@
     quarantines, answered = count_quarantines(late_period=1)
     assert quarantines >= 1
     assert answered == 0
+
+
+def test_start_that_a_restarted_backend_server_executes_late_has_no_effect(run_leased):
+    # The stop was confirmed before the restart, and the new incarnation has not yet
+    # received a request with the higher fencing token.
+    async def test(backend_server, client, nursery):
+        await wait_until_open(client)
+        backend_server.counts_lease_from_arrival = True
+        requested_s = trio.current_time()
+
+        async def reply_again():
+            await trio.sleep(0.001)
+            backend_server.execution_delay_s = 0.0
+
+        backend_server.execution_delay_s = 3.0
+        nursery.start_soon(reply_again)
+        outcome = await run_task(client, run_s=5.0)
+        assert outcome.status is Status.NOT_STARTED
+        await trio.sleep_until(requested_s + 2.99)
+        backend_server.crash()
+        await trio.sleep(1.0)
+        assert backend_server.runs == []
+
+    run_leased(test)
