Let suspects that wait hold back no other tasks

Jobs with a latency target are assigned when they are submitted, past the queue; their tasks wait behind suspects if they are queued again.

Cause: the entry tries the first 8 short and the first 8 long tasks of its queue. Suspects wait for a worker without another suspect, so they stay at the head while other tasks would fit. From 8 of them on, the tasks behind were not tried at all.

Evidence, test_suspects_that_wait_hold_back_no_other_tasks without this change:

Why the fix works: suspects have a heap of their own in the queue, of which the first 8 are tried besides the others, in the order of the sort keys as before. Counts, demand and due times still cover all tasks.

Ruled out: a deeper scan, whose time grows with the number of suspects at each frame.

Passed: test_worker_crashes, test_reruns, test_leased, test_incarnations, test_malformed_input, test_task_queue, test_policy.

--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -498,6 +498,7 @@
         now_s = trio.current_time()
         candidates = pool.queue.peek_many(False, _SCAN_DEPTH)
         candidates += pool.queue.peek_many(True, _SCAN_DEPTH)
+        candidates += pool.queue.peek_suspects(_SCAN_DEPTH)
         # Units of the smallest short (False) and long (True) task that no worker could
         # take. Tasks with as many units or more are not tried.
         smallest_unplaced: dict[bool, int] = {}
--- a/gooseberrylink/task_queue.py
+++ b/gooseberrylink/task_queue.py
@@ -11,10 +11,12 @@
 
 
 class TaskQueue:
-    """Two heaps of waiting tasks, short and long ones, ordered by their sort keys.
+    """Heaps of waiting tasks, ordered by their sort keys.
 
-    Tasks that left the queue stay in their heap until they reach its top. A task that
-    was added again has several entries in its heap, of which the last is valid.
+    There is one for short and one for long tasks, and one for suspects, short or long:
+    they wait for workers that may have capacity for other tasks. Tasks that left the
+    queue stay in their heap until they reach its top. A task that was added again has
+    several entries, of which the last is valid.
 
     Attributes:
         short_count: Number of waiting short tasks.
@@ -27,6 +29,7 @@
     def __init__(self):
         self._short: list[_Node] = []
         self._long: list[_Node] = []
+        self._suspects: list[_Node] = []
         self._sequence = itertools.count()
         # Number of the valid entry of each waiting task.
         self._valid_numbers: dict[Task, int] = {}
@@ -41,6 +44,8 @@
     def push(self, task: Task) -> None:
         """Adds a task, which must be in state QUEUED."""
         heap = self._long if task.is_long else self._short
+        if task.is_crash_suspect:
+            heap = self._suspects
         number = next(self._sequence)
         self._valid_numbers[task] = number
         heapq.heappush(heap, (task.sort_key, number, task))
@@ -52,17 +57,25 @@
         self.units += task.spec.resources.units
 
     def peek(self, is_long: bool) -> Task | None:
-        """Returns the first short or long task without removing it, or None."""
-        heap = self._long if is_long else self._short
+        """Returns the first short or long task, suspects aside, or None."""
+        return self._first(self._long if is_long else self._short)
+
+    def peek_many(self, is_long: bool, count: int) -> list[Task]:
+        """Returns the first short or long tasks, suspects aside, up to count."""
+        return self._first_many(self._long if is_long else self._short, count)
+
+    def peek_suspects(self, count: int) -> list[Task]:
+        """Returns the first suspects, short or long, up to count."""
+        return self._first_many(self._suspects, count)
+
+    def _first(self, heap: list[_Node]) -> Task | None:
         while heap and not self._is_valid(heap[0]):
             heapq.heappop(heap)
         return heap[0][2] if heap else None
 
-    def peek_many(self, is_long: bool, count: int) -> list[Task]:
-        """Returns the first short or long tasks, up to count, without removing them."""
-        if self.peek(is_long) is None:
+    def _first_many(self, heap: list[_Node], count: int) -> list[Task]:
+        if self._first(heap) is None:
             return []
-        heap = self._long if is_long else self._short
         nodes = heapq.nsmallest(count, heap)
         return [node[2] for node in nodes if self._is_valid(node)]
 
@@ -78,7 +91,7 @@
 
     def head_priority(self) -> tuple[int, float]:
         """Returns precedence and due time of the first task; 0 and infinity if none."""
-        heads = [self.peek(is_long=False), self.peek(is_long=True)]
+        heads = [self._first(heap) for heap in self._heaps()]
         sort_keys = [task.sort_key for task in heads if task is not None]
         if not sort_keys:
             return 0, math.inf
@@ -92,11 +105,14 @@
         """
         return sum(
             node[2].expected_s
-            for heap in (self._short, self._long)
+            for heap in self._heaps()
             for node in heap
             if node[0] < sort_key and self._is_valid(node)
         )
 
+    def _heaps(self) -> tuple[list[_Node], ...]:
+        return self._short, self._long, self._suspects
+
     def _is_valid(self, node: _Node) -> bool:
         """Returns whether a heap entry is that of a waiting task."""
         _, number, task = node
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -138,6 +138,32 @@
     run_deployment_with_leases(test, seed=seed)
 
 
+def test_suspects_that_wait_hold_back_no_other_tasks(run_deployment_with_leases):
+    # More suspects at the head of the queue than are tried kept all tasks behind them
+    # waiting, although the workers were nearly empty.
+    async def test(deployment, workers):
+        (entry,) = deployment.entries
+        codes = {}
+        async with trio.open_nursery() as nursery:
+            job = make_job("a", *[0.2] * 48)
+            nursery.start_soon(submit_and_record_code, entry, job, codes)
+            await trio.sleep(0.03)
+            for worker in workers:
+                worker.is_unresponsive = True
+                worker.crash()
+            await trio.sleep(0.8)
+            for worker in workers:
+                worker.is_unresponsive = False
+            await trio.sleep(0.3)
+            assert len(entry.dispatcher.pool("dispatch").queue) > 30
+            submitted_s = trio.current_time()
+            await submit_and_record_code(entry, make_job("b", *[0.2] * 4), codes)
+            assert trio.current_time() - submitted_s < 0.3
+        assert codes == {"a": Code.OK, "b": Code.OK}
+
+    run_deployment_with_leases(test, workers=6)
+
+
 @pytest.mark.parametrize("killed_after_s", [0.1, 0.6, 1.5])
 def test_job_sent_again_does_not_crash_three_more_workers(
     run_deployment_with_leases, killed_after_s
