Count no run as lost that ended with a worker that left as announced

Cause: a worker that leaves ends what still runs there and falls silent, or is replaced. Its runs then end as lapsed or lost, as after a crash, and were counted as losses.

Evidence, test_task_on_workers_that_leave_as_announced_is_not_given_up without this change:

AssertionError: assert {'a': <Code.W...CRASHED: 204>} == {'a': <Code.OK: 0>}

Why the fix works: once the worker says that it drains or deregisters, its client counts no run as lost. Nothing starts there any more, so a task that crashes workers shortly after its start can't be among the runs. One that crashes them late may go uncounted once for each worker that drains.

Ruled out: to tell it by the closed client, as a client is also closed when its backend server is replaced after a crash.

--- a/gooseberrylink/backends/client.py
+++ b/gooseberrylink/backends/client.py
@@ -19,7 +19,7 @@
         run_s: Run time in seconds: from the first byte of the request until the
             response, or from the start request until the run was reported as ended.
         is_backend_lost: Whether the run ended because the backend server crashed or
-            fell silent.
+            fell silent, and had not announced that it drains.
         is_crash_suspect: Whether that was so soon after the start that the task may
             have crashed the backend server.
     """
--- a/gooseberrylink/backends/incarnations.py
+++ b/gooseberrylink/backends/incarnations.py
@@ -170,6 +170,7 @@
     def _detach(self, current: _CurrentIncarnation, reason: str) -> None:
         if not current.is_draining:
             current.is_draining = True
+            current.backend.expect_end()
             self._agent.detach_backend(reason)
 
 
--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -294,7 +294,8 @@
         last_listed_s: When a report last listed it; None before.
         was_backend_alive: Whether the backend server had replied to another request
             shortly before the start was requested.
-        is_backend_lost: Whether it ended because the backend server was lost.
+        is_backend_lost: Whether it ended because the backend server was lost, and not
+            as the backend server had announced.
         is_stalled: Whether the run was stopped because of missing progress.
         end: How the run ended; None before.
         is_stopping: Whether a stop was requested.
@@ -358,6 +359,7 @@
         self._last_sign_of_life_s = -math.inf
         self._lease_end_s = 0.0
         self._is_closed = False
+        self._is_leaving = False
         self._nursery: trio.Nursery | None = None
 
     async def run_background(self) -> None:
@@ -374,6 +376,10 @@
         self._is_closed = True
         self.is_open = False
 
+    def expect_end(self) -> None:
+        """Counts no run as lost: the backend server drains, and will end by itself."""
+        self._is_leaving = True
+
     def mark_lost(self, reason: str) -> None:
         """Closes, and marks all runs as lost because the backend server was replaced.
 
@@ -492,7 +498,8 @@
     def _finish(self, run: _Run, kind: EndKind, is_backend_lost: bool = False) -> None:
         if run.end is None:
             run.end = kind
-            run.is_backend_lost = is_backend_lost or kind is EndKind.LOST
+            is_backend_lost = is_backend_lost or kind is EndKind.LOST
+            run.is_backend_lost = is_backend_lost and not self._is_leaving
             self._metrics.add("run_ends", kind.value)
             log_event(
                 "run_ended",
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -3,6 +3,9 @@
 import pytest
 import trio
 
+from gooseberrylink.backends.client import Announcement
+from gooseberrylink.backends.incarnations import IncarnationTracker
+from gooseberrylink.backends.leased import LeasedBackendClient, LeaseSettings
 from gooseberrylink.codes import Code
 from gooseberrylink.resources import Resources
 from gooseberrylink.standins.leased_backend import (
@@ -220,3 +223,52 @@
         assert find_tasks_with_overlapping_runs(workers) == []
 
     run_deployment_with_leases(test)
+
+
+def make_tracker(deployment, worker: FakeLeasedBackend):
+    """Attaches a worker by its announcement; returns a function that announces it."""
+    agent = deployment.agents[worker.name]
+    agent.detach_backend("replaced")
+    tracker = IncarnationTracker(
+        agent,
+        lambda _: LeasedBackendClient(
+            worker, 5, LeaseSettings(), agent.metrics, agent.handle_availability_change
+        ),
+    )
+
+    def announce(sequence: int, is_draining: bool) -> None:
+        announcement = Announcement(
+            deployment.service, "w:1", 8, incarnation="i-1", born_ms=worker.born_ms
+        )
+        tracker.handle_announcement(announcement, sequence, is_draining)
+
+    announce(1, is_draining=False)
+    return announce
+
+
+def test_task_on_workers_that_leave_as_announced_is_not_given_up(
+    run_deployment_with_leases,
+):
+    # A worker that leaves ends what still runs there, and was taken for crashed.
+    async def test(deployment, workers):
+        (entry,) = deployment.entries
+        announcers = {w.name: make_tracker(deployment, w) for w in workers}
+        await trio.sleep(1.0)
+        codes = {}
+        async with trio.open_nursery() as nursery:
+            job = make_job("a", 2.0)
+            nursery.start_soon(submit_and_record_code, entry, job, codes)
+            for number in range(3):
+                await trio.sleep(0.6)
+                leaving = max(
+                    (w for w in workers if w.runs), key=lambda w: w.runs[-1].started_s
+                )
+                announcers[leaving.name](2, is_draining=True)
+                await trio.sleep(0.5)
+                assert leaving.runs[-1].key.attempt == number + 1
+                leaving.is_unresponsive = True
+                leaving.crash()
+                await trio.sleep(1.2)
+        assert codes == {"a": Code.OK}
+
+    run_deployment_with_leases(test)
