Keep the losses of a task when a rack's losses reach an entry

What callers could see: nothing on record.

Cause: an entry keeps the losses of all agents, with the bound of 1000 records that was meant for a single agent, and drops the oldest ones, whichever task they are of. An agent reports each loss once a link, so the entry did not learn of them again.

Why the fix works: an entry keeps 10,000 records, ten such racks within 120 s. The bound of an agent, which sends all of its records on each new link, stays at 1000.

Ruled out: to drop the records of tasks with a single loss first, as the deadly task has a single loss too when it matters most. Memory was not measured.

--- a/gooseberrylink/crash_history.py
+++ b/gooseberrylink/crash_history.py
@@ -19,15 +19,22 @@
 # Longer than the time in which callers submit a job again.
 _RETENTION_S = 120.0
 _MAX_LOST_RUNS = 1000
+# A rack of a large site can lose a thousand runs at once.
+MAX_LOST_RUNS_AT_ENTRY = 10_000
 
 
 class CrashHistory:
     """The runs that were lost lately with their backend servers, by task.
 
-    At most 1000 of them are kept, for 120 s.
+    They are kept for 120 s.
+
+    Args:
+        max_lost_runs: How many are kept at most. An agent sends all of its own on each
+            new link; an entry keeps those of all agents.
     """
 
-    def __init__(self):
+    def __init__(self, max_lost_runs: int = _MAX_LOST_RUNS):
+        self._max_lost_runs = max_lost_runs
         self._recorded: collections.deque[tuple[float, LostRun]] = collections.deque()
         self._lost_runs: dict[str, dict[str, LostRun]] = {}
 
@@ -66,7 +73,7 @@
     def _forget_old(self, now_s: float) -> None:
         while self._recorded and (
             self._recorded[0][0] < now_s - _RETENTION_S
-            or len(self._recorded) >= _MAX_LOST_RUNS
+            or len(self._recorded) >= self._max_lost_runs
         ):
             _, lost_run = self._recorded.popleft()
             of_task = self._lost_runs[lost_run.task_name]
--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -8,7 +8,7 @@
 
 from gooseberrylink.admission import Admission
 from gooseberrylink.codes import CANCELLED_CODES, EXPIRED_CODES, Code
-from gooseberrylink.crash_history import CrashHistory
+from gooseberrylink.crash_history import MAX_LOST_RUNS_AT_ENTRY, CrashHistory
 from gooseberrylink.logs import log_event
 from gooseberrylink.metrics import Metrics
 from gooseberrylink.operators.configuration import Configuration
@@ -70,7 +70,7 @@
         self._last_job_ended_s = -math.inf
         self.run_times = RunTimeModel()
         self.quotas = Quotas()
-        self.crash_history = CrashHistory()
+        self.crash_history = CrashHistory(MAX_LOST_RUNS_AT_ENTRY)
         self._success_rates = CustomerSuccessRates()
         self._configuration = configuration
         self._metrics = metrics
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -7,6 +7,7 @@
 from gooseberrylink.backends.incarnations import IncarnationTracker
 from gooseberrylink.backends.leased import LeasedBackendClient, LeaseSettings
 from gooseberrylink.codes import Code
+from gooseberrylink.peers.messages import LostRun
 from gooseberrylink.resources import Resources
 from gooseberrylink.standins.leased_backend import (
     FakeLeasedBackend,
@@ -272,3 +273,27 @@
         assert codes == {"a": Code.OK}
 
     run_deployment_with_leases(test)
+
+
+def report_lost_runs(deployment, entry, lost_runs: list[LostRun]) -> None:
+    """Makes one agent report lost runs to an entry."""
+    agent = deployment.agents["tank-1"]
+    for lost_run in lost_runs:
+        agent._peers[entry.address_for_agents].report_lost_run(lost_run)
+
+
+def test_losses_of_a_rack_do_not_make_an_entry_forget_a_task_that_crashes_workers(
+    run_deployment_with_leases,
+):
+    # The job is sent again, as its answers do not reach its caller.
+    async def test(deployment, workers):
+        (entry,) = deployment.entries
+        for submission in range(3):
+            answer = await entry.submit(make_crashing_job("a", *[0.1] * 2))
+            assert answer.code is Code.WORKERS_CRASHED
+            names = [f"b{submission}.{index}" for index in range(1000)]
+            report_lost_runs(deployment, entry, [LostRun(n, n, False) for n in names])
+            await trio.sleep(RESUBMIT_AFTER_S)
+        assert find_crashes(workers) == ["a.0"] * 2
+
+    run_deployment_with_leases(test)
