Ignore reports of lost runs whose task has no name

What callers could see: nothing on record.

Cause: an agent does not report such runs, but the entry counted what it received. The class of fault: input of a peer that is trusted to be well-formed.

Evidence, test_lost_runs_without_a_name_are_not_counted without this change:

assert (await entry.submit(job)).code is Code.OK AssertionError: assert <Code.WORKERS_CRASHED: 204> is <Code.OK: 0>

Why the fix works: such a run is not recorded, so the count of tasks without a name stays at 0.

--- a/gooseberrylink/crash_history.py
+++ b/gooseberrylink/crash_history.py
@@ -39,7 +39,9 @@
         self._lost_runs: dict[str, dict[str, LostRun]] = {}
 
     def record(self, lost_run: LostRun, now_s: float) -> None:
-        """Adds a run, unless it was added before."""
+        """Adds a run, unless it was added before or its task has no name."""
+        if not lost_run.task_name:
+            return
         self._forget_old(now_s)
         of_task = self._lost_runs.setdefault(lost_run.task_name, {})
         if lost_run.assignment_id not in of_task:
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -297,3 +297,18 @@
         assert find_crashes(workers) == ["a.0"] * 2
 
     run_deployment_with_leases(test)
+
+
+def test_lost_runs_without_a_name_are_not_counted(run_deployment_with_leases):
+    # Tasks without a name all have the name "". An agent does not report them, but a
+    # malformed report refused every job of such tasks.
+    async def test(deployment, workers):
+        (entry,) = deployment.entries
+        lost_runs = [LostRun("", f"x/{number}", True) for number in range(3)]
+        report_lost_runs(deployment, entry, lost_runs)
+        await trio.sleep(0.5)
+        tasks = [TaskSpec({"name": "b", "run_s": 0.1}, 0.1, Resources(1))]
+        job = JobRequest("shops", "dispatch", tasks, deadline_s=5.0)
+        assert (await entry.submit(job)).code is Code.OK
+
+    run_deployment_with_leases(test)
