--- a/tests/test_announcement_store.py
+++ b/tests/test_announcement_store.py
@@ -33,6 +33,13 @@
         self.calls.append(reason)
 
 
+class FakeBackendClient:
+    """Client that the incarnation tracker attaches; nothing runs at it."""
+
+    def expect_end(self):
+        pass
+
+
 class FakeRunClient:
     """Client of a backend server that gives one fixed reply to each renewal."""
 
@@ -50,7 +57,7 @@
 
 def make_announcement_store(store) -> tuple[FakeAgent, AnnouncementStore]:
     agent = FakeAgent()
-    incarnations = IncarnationTracker(agent, lambda _: object())
+    incarnations = IncarnationTracker(agent, lambda _: FakeBackendClient())
     announcement_store = AnnouncementStore(incarnations, store, "tank-1", agent.metrics)
     return agent, announcement_store
 
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -5,7 +5,11 @@
 import pytest
 import trio
 
+from gooseberrylink.backends.client import Announcement
+from gooseberrylink.backends.incarnations import IncarnationTracker
+from gooseberrylink.backends.leased import LeasedBackendClient, LeaseSettings
 from gooseberrylink.codes import Code
+from gooseberrylink.peers.messages import LostRun
 from gooseberrylink.resources import Resources
 from gooseberrylink.standins.leased_backend import (
     FakeLeasedBackend,
@@ -163,6 +167,32 @@
     run_deployment_with_leases(test, workers=10, seed=seed)
 
 
+def test_suspects_that_wait_hold_back_no_other_tasks(run_deployment_with_leases):
+    # More suspects at the head of the queue than are tried kept all tasks behind them
+    # waiting, although the workers were nearly empty.
+    async def test(deployment, workers):
+        (entry,) = deployment.entries
+        codes = {}
+        async with trio.open_nursery() as nursery:
+            job = make_job("a", *[0.2] * 48)
+            nursery.start_soon(submit_and_record_code, entry, job, codes)
+            await trio.sleep(0.03)
+            for worker in workers:
+                worker.is_unresponsive = True
+                worker.crash()
+            await trio.sleep(0.8)
+            for worker in workers:
+                worker.is_unresponsive = False
+            await trio.sleep(0.3)
+            assert len(entry.dispatcher.pool("dispatch").queue) > 30
+            submitted_s = trio.current_time()
+            await submit_and_record_code(entry, make_job("b", *[0.2] * 4), codes)
+            assert trio.current_time() - submitted_s < 0.3
+        assert codes == {"a": Code.OK, "b": Code.OK}
+
+    run_deployment_with_leases(test, workers=6)
+
+
 @pytest.mark.parametrize("killed_after_s", [0.1, 0.6, 1.5])
 def test_job_sent_again_does_not_crash_three_more_workers(
     run_deployment_with_leases, killed_after_s
@@ -219,3 +249,91 @@
         assert find_tasks_with_overlapping_runs(workers) == []
 
     run_deployment_with_leases(test)
+
+
+def make_tracker(deployment, worker: FakeLeasedBackend):
+    """Attaches a worker by its announcement; returns a function that announces it."""
+    agent = deployment.agents[worker.name]
+    agent.detach_backend("replaced")
+    tracker = IncarnationTracker(
+        agent,
+        lambda _: LeasedBackendClient(
+            worker, 5, LeaseSettings(), agent.metrics, agent.handle_availability_change
+        ),
+    )
+
+    def announce(sequence: int, is_draining: bool) -> None:
+        announcement = Announcement(
+            deployment.service, "w:1", 8, incarnation="i-1", born_ms=worker.born_ms
+        )
+        tracker.handle_announcement(announcement, sequence, is_draining)
+
+    announce(1, is_draining=False)
+    return announce
+
+
+def test_task_on_workers_that_leave_as_announced_is_not_given_up(
+    run_deployment_with_leases,
+):
+    # A worker that leaves ends what still runs there, and was taken for crashed.
+    async def test(deployment, workers):
+        (entry,) = deployment.entries
+        announcers = {w.name: make_tracker(deployment, w) for w in workers}
+        await trio.sleep(1.0)
+        codes = {}
+        async with trio.open_nursery() as nursery:
+            job = make_job("a", 2.0)
+            nursery.start_soon(submit_and_record_code, entry, job, codes)
+            for number in range(3):
+                await trio.sleep(0.6)
+                leaving = max(
+                    (w for w in workers if w.runs), key=lambda w: w.runs[-1].started_s
+                )
+                announcers[leaving.name](2, is_draining=True)
+                await trio.sleep(0.5)
+                assert leaving.runs[-1].key.attempt == number + 1
+                leaving.is_unresponsive = True
+                leaving.crash()
+                await trio.sleep(1.2)
+        assert codes == {"a": Code.OK}
+
+    run_deployment_with_leases(test)
+
+
+def report_lost_runs(deployment, entry, lost_runs: list[LostRun]) -> None:
+    """Makes one agent report lost runs to an entry."""
+    agent = deployment.agents["tank-1"]
+    for lost_run in lost_runs:
+        agent._peers[entry.address_for_agents].report_lost_run(lost_run)
+
+
+def test_losses_of_a_rack_do_not_make_an_entry_forget_a_task_that_crashes_workers(
+    run_deployment_with_leases,
+):
+    # The job is sent again, as its answers do not reach its caller.
+    async def test(deployment, workers):
+        (entry,) = deployment.entries
+        for submission in range(3):
+            answer = await entry.submit(make_crashing_job("a", *[0.1] * 2))
+            assert answer.code is Code.WORKERS_CRASHED
+            names = [f"b{submission}.{index}" for index in range(1000)]
+            report_lost_runs(deployment, entry, [LostRun(n, n, False) for n in names])
+            await trio.sleep(RESUBMIT_AFTER_S)
+        assert find_crashes(workers) == ["a.0"] * 2
+
+    run_deployment_with_leases(test)
+
+
+def test_lost_runs_without_a_name_are_not_counted(run_deployment_with_leases):
+    # Tasks without a name all have the name "". An agent does not report them, but a
+    # malformed report refused every job of such tasks.
+    async def test(deployment, workers):
+        (entry,) = deployment.entries
+        lost_runs = [LostRun("", f"x/{number}", True) for number in range(3)]
+        report_lost_runs(deployment, entry, lost_runs)
+        await trio.sleep(0.5)
+        tasks = [TaskSpec({"name": "b", "run_s": 0.1}, 0.1, Resources(1))]
+        job = JobRequest("shops", "dispatch", tasks, deadline_s=5.0)
+        assert (await entry.submit(job)).code is Code.OK
+
+    run_deployment_with_leases(test)
