Give up a task of an agent that ended once its losses are known

What callers could see: nothing on record.

Cause: the number of losses was compared with the limit only when a run was reported as stopped. The reports may come from runs of the same job at another entry, to which it was sent again.

Evidence, test_task_of_an_agent_that_ended_is_not_started_again_after_known_losses without this change:

assert find_crashes(workers) == ["a.0"] AssertionError: assert ['a.0', 'a.0'] == ['a.0']

Why the fix works: every rerun is queued in one function, which now gives the task up.

Not covered: a run that ended with its agent, or at an agent that stays cut off, is still not counted itself. A task that is queued for its first run is not checked again.

--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -350,12 +350,17 @@
     def _rerun(self, task: Task, reason: str) -> bool:
         """Queues a task again whose last run has certainly ended.
 
+        A task that crashes workers is given up instead.
+
         Returns:
             Whether the job allows reruns.
         """
         job = task.job
         if job.request.rerun_policy is None:
             return False
+        if self.crash_history.is_to_be_given_up(task.spec.name):
+            self._fail(job, self._crash_answer(task))
+            return True
         job.has_rerun_tasks = True
         task.avoided_workers.add(task.worker)
         self._metrics.add("reruns", reason)
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -277,7 +277,7 @@
 
 def report_lost_runs(deployment, entry, lost_runs: list[LostRun]) -> None:
     """Makes one agent report lost runs to an entry."""
-    agent = deployment.agents["tank-1"]
+    agent = next(iter(deployment.agents.values()))
     for lost_run in lost_runs:
         agent._peers[entry.address_for_agents].report_lost_run(lost_run)
 
@@ -312,3 +312,25 @@
         assert (await entry.submit(job)).code is Code.OK
 
     run_deployment_with_leases(test)
+
+
+def test_task_of_an_agent_that_ended_is_not_started_again_after_known_losses(
+    run_deployment_with_leases,
+):
+    # The losses were reported while the task ran at an agent that ended before it
+    # could report its own.
+    async def test(deployment, workers):
+        (entry,) = deployment.entries
+        codes = {}
+        job = make_crashing_job("a", 0.1)
+        deployment.start_soon(lambda: submit_and_record_code(entry, job, codes))
+        await trio.sleep(0.2)
+        (crashed,) = (w for w in workers if w.crashed_by)
+        lost_runs = [LostRun("a.0", f"other/{number}", True) for number in range(2)]
+        deployment.kill_agent(crashed.name)
+        report_lost_runs(deployment, entry, lost_runs)
+        await trio.sleep(8.0)
+        assert find_crashes(workers) == ["a.0"]
+        assert codes == {"a": Code.WORKERS_CRASHED}
+
+    run_deployment_with_leases(test)
