Count a run that ended with its agent as lost with its worker

What callers could see: nothing on record.

Cause: an agent reports how its runs end. One that is killed, or stays cut off, reports nothing, and its successor knows none of its runs, so these losses were not counted.

Evidence, test_agents_killed_after_each_crash_do_not_let_a_task_crash_more_workers on:

AssertionError: assert ['a.0', 'a.0', 'a.0', 'a.0'] == ['a.0', 'a.0', 'a.0']

Why the fix works: when an entry takes such a run for ended, it counts a loss of the kind that names no suspect, of which the third gives the task up. If the agent reports the run after all, for example because only its link was down, the report replaces the entry's own record, so nothing is counted twice.

The check of the limit and the mark of a suspect are now in _rerun() only, through which every rerun passes. The answer's detail no longer says that the task ran there: a start that got no reply may not have been executed.

Ruled out: counting it as a suspect.

Not covered: another entry, to which the job is sent again, does not know of these losses.

--- a/gooseberrylink/crash_history.py
+++ b/gooseberrylink/crash_history.py
@@ -39,14 +39,16 @@
         self._lost_runs: dict[str, dict[str, LostRun]] = {}
 
     def record(self, lost_run: LostRun, now_s: float) -> None:
-        """Adds a run, unless it was added before or its task has no name."""
+        """Adds a run whose task has a name, or learns that a known one is suspect."""
         if not lost_run.task_name:
             return
         self._forget_old(now_s)
         of_task = self._lost_runs.setdefault(lost_run.task_name, {})
-        if lost_run.assignment_id not in of_task:
-            of_task[lost_run.assignment_id] = lost_run
+        known = of_task.get(lost_run.assignment_id)
+        if known is None:
             self._recorded.append((now_s, lost_run))
+        if known is None or lost_run.is_suspect:
+            of_task[lost_run.assignment_id] = lost_run
 
     def recent(self, now_s: float) -> list[LostRun]:
         """Returns all runs that are kept, oldest first."""
--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -13,7 +13,7 @@
 from gooseberrylink.metrics import Metrics
 from gooseberrylink.operators.configuration import Configuration
 from gooseberrylink.peers.agent_peer import AgentPeer, AssignHints
-from gooseberrylink.peers.messages import Result, Status
+from gooseberrylink.peers.messages import LostRun, Result, Status
 from gooseberrylink.quotas import Quotas
 from gooseberrylink.retry_budget import RetryBudget
 from gooseberrylink.routing import make_policy, remote_factor
@@ -322,6 +322,9 @@
         self._remove_in_flight(peer, task)
         task.state = TaskState.UNKNOWN
         self._metrics.add("tasks_in_doubt", reason)
+        # The worker may have crashed as well, which its agent has not reported.
+        lost_run = LostRun(task.spec.name, task.assignment_id, is_suspect=False)
+        self.crash_history.record(lost_run, trio.current_time())
         return self._rerun(task, reason)
 
     def handle_agent_disconnected(self, peer: AgentPeer) -> None:
@@ -361,6 +364,7 @@
         if self.crash_history.is_to_be_given_up(task.spec.name):
             self._fail(job, self._crash_answer(task))
             return True
+        task.is_crash_suspect = self.crash_history.is_suspect(task.spec.name)
         job.has_rerun_tasks = True
         task.avoided_workers.add(task.worker)
         self._metrics.add("reruns", reason)
@@ -393,10 +397,6 @@
             return
         if result.status is Status.STOPPED:
             task.state = TaskState.RAN
-            if self.crash_history.is_to_be_given_up(task.spec.name):
-                self._fail(job, self._crash_answer(task))
-                return
-            task.is_crash_suspect = self.crash_history.is_suspect(task.spec.name)
             if self._rerun(task, result.reason):
                 return
             code = Code.BACKEND_BROKE
@@ -422,7 +422,10 @@
         """Returns the answer to the job of a task that must not be started again."""
         self._metrics.add("tasks_given_up", "workers_crashed")
         losses = self.crash_history.count_losses(task.spec.name)
-        detail = f"{losses} workers crashed or fell silent while task {task.index} ran"
+        detail = (
+            f"{losses} workers or their agents crashed or fell silent after task"
+            f" {task.index} was sent there"
+        )
         return Answer(Code.WORKERS_CRASHED, detail)
 
     def _record_run_time(self, peer: AgentPeer, task: Task, run_s: float) -> None:
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -359,3 +359,27 @@
         assert codes == {"a": Code.WORKERS_CRASHED}
 
     run_deployment_with_leases(test)
+
+
+def test_agents_killed_after_each_crash_do_not_let_a_task_crash_more_workers(
+    run_deployment_with_leases,
+):
+    # An agent that is killed reports no loss.
+    async def test(deployment, workers):
+        (entry,) = deployment.entries
+
+        async def kill_agents_of_crashed_workers():
+            while True:
+                await trio.sleep(0.1)
+                for worker in workers:
+                    if worker.crashed_by and worker.name in deployment.agents:
+                        deployment.kill_agent(worker.name)
+
+        deployment.start_soon(kill_agents_of_crashed_workers)
+        job = make_crashing_job("a", *[0.1] * 2)
+        for _ in range(2):
+            answer = await entry.submit(job)
+            assert find_crashes(workers) == ["a.0"] * 3
+            assert answer.code is Code.WORKERS_CRASHED
+
+    run_deployment_with_leases(test, workers=10)
