Record two cases in which losses of workers are counted wrongly

A start without a reply can't be left out of the count: a task may crash its worker before the reply.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -210,6 +210,9 @@
     def mark_lost(self, reason):
         self._agent.events.append(f"lost {self._incarnation}")
 
+    def expect_end(self):
+        pass
+
 
 def make_announcement(
     incarnation: str, born_ms: int, address: str = "w:1"
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -383,3 +383,57 @@
             assert answer.code is Code.WORKERS_CRASHED
 
     run_deployment_with_leases(test, workers=10)
+
+
+def test_task_sent_to_workers_that_have_just_died_is_not_given_up(
+    run_deployment_with_leases,
+):
+    # Such a start gets no reply, as if the task had crashed the worker.
+    async def test(deployment, workers):
+        deaths_left = 3
+
+        async def restart(worker):
+            await trio.sleep(1.5)
+            worker.is_unresponsive = False
+
+        def die_before_start(worker):
+            start = worker.start
+
+            async def die_and_start(key, *args):
+                nonlocal deaths_left
+                if deaths_left:
+                    deaths_left -= 1
+                    worker.is_unresponsive = True
+                    worker.crash()
+                    deployment.start_soon(functools.partial(restart, worker))
+                return await start(key, *args)
+
+            worker.start = die_and_start
+
+        for worker in workers:
+            die_before_start(worker)
+        (entry,) = deployment.entries
+        answer = await entry.submit(make_job("a", 0.2))
+        assert answer.code is Code.OK
+
+    run_deployment_with_leases(test)
+
+
+def test_hosts_cut_off_at_each_crash_do_not_let_a_job_sent_again_crash_more(
+    run_deployment_with_leases,
+):
+    # The agents can't report the losses to the entry that gets the job then.
+    async def test(deployment, workers):
+        async def cut_off(worker):
+            while not worker.crashed_by:
+                await trio.sleep(0.01)
+            deployment.network.partition(worker.name)
+
+        for worker in workers:
+            deployment.start_soon(functools.partial(cut_off, worker))
+        job = make_crashing_job("a", *[0.1] * 2)
+        for entry in deployment.entries:
+            await entry.submit(job)
+        assert len(find_crashes(workers)) < 6
+
+    run_deployment_with_leases(test, entries=2, workers=12)
