--- a/gooseberrylink/crash_history.py
+++ b/gooseberrylink/crash_history.py
@@ -2,8 +2,9 @@
 
 A task may crash each backend server that starts it. Its runs look like those of the
 tasks beside it, which are lost as well, so a task is given up only after several
-losses. Agents report each loss to all entries: the job may be submitted again to an
-entry that has assigned none of its tasks.
+crashes. Agents report each lost run to all entries, because the job may be submitted
+again to an entry that has assigned none of its tasks. At first a lost run only shows
+that its backend server is silent; the report is repeated once a crash is certain.
 """
 
 import collections
@@ -12,10 +13,10 @@
 
 # Crashes shortly after the start of a task after which it is given up. The tasks beside
 # it rarely start just before a crash twice.
-_MAX_SUSPECT_LOSSES = 2
+_MAX_SUSPECT_CRASHES = 2
 # Crashes at any time after which a task is given up. It may crash backend servers later
 # than shortly after its start.
-_MAX_LOSSES = 3
+_MAX_CRASHES = 3
 # Longer than the time in which callers submit a job again.
 _RETENTION_S = 120.0
 _MAX_LOST_RUNS = 1000
@@ -39,7 +40,10 @@
         self._lost_runs: dict[str, dict[str, LostRun]] = {}
 
     def record(self, lost_run: LostRun, now_s: float) -> None:
-        """Adds a run whose task has a name, or adds to what is known of it."""
+        """Adds a run whose task has a name, or adds to what is known of it.
+
+        A run counts as suspect, or as lost in a crash, once any report says so.
+        """
         if not lost_run.task_name:
             return
         self._forget_old(now_s)
@@ -76,15 +80,15 @@
         lost_runs = self._lost_runs.get(task_name, {}).values()
         crashes = [lost_run for lost_run in lost_runs if lost_run.is_crash]
         return (
-            sum(crash.is_suspect for crash in crashes) >= _MAX_SUSPECT_LOSSES
-            or len(crashes) >= _MAX_LOSSES
+            sum(crash.is_suspect for crash in crashes) >= _MAX_SUSPECT_CRASHES
+            or len(crashes) >= _MAX_CRASHES
         )
 
     def may_be_given_up_soon(self, task_name: str) -> bool:
         """Returns whether its losses would give a task up if they were crashes."""
         return (
-            self._count_suspect_losses(task_name) >= _MAX_SUSPECT_LOSSES
-            or self.count_losses(task_name) >= _MAX_LOSSES
+            self._count_suspect_losses(task_name) >= _MAX_SUSPECT_CRASHES
+            or self.count_losses(task_name) >= _MAX_CRASHES
         )
 
     def _count_suspect_losses(self, task_name: str) -> int:
