--- a/gooseberrylink/backends/announcement_store.py
+++ b/gooseberrylink/backends/announcement_store.py
@@ -12,10 +12,10 @@
 
 from gooseberrylink.addresses import split_address
 from gooseberrylink.backends.client import Announcement
+from gooseberrylink.backends.fencing import FencingToken
 from gooseberrylink.backends.incarnations import IncarnationTracker
-from gooseberrylink.backends.leased import (
+from gooseberrylink.backends.runs import (
     ControlReply,
-    FencingToken,
     LeaseRenewal,
     RunClient,
     RunReport,
--- a/gooseberrylink/platform/run_client.py
+++ b/gooseberrylink/platform/run_client.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from gooseberrylink.backends.leased import (
+from gooseberrylink.backends.runs import (
     ControlReply,
     EndKind,
     LeaseRenewal,
--- a/gooseberrylink/standins/leased_backend.py
+++ b/gooseberrylink/standins/leased_backend.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from gooseberrylink.backends.leased import (
+from gooseberrylink.backends.runs import (
     ControlReply,
     EndKind,
     LeaseRenewal,
--- a/gooseberrylink/standins/leased_backend_api.py
+++ b/gooseberrylink/standins/leased_backend_api.py
@@ -10,12 +10,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from gooseberrylink.backends.leased import (
-    ControlReply,
-    LeaseRenewal,
-    RunKey,
-    StartReply,
-)
+from gooseberrylink.backends.runs import ControlReply, LeaseRenewal, RunKey, StartReply
 from gooseberrylink.standins.leased_backend import FakeLeasedBackend
 
 _HEARTBEAT_S = 0.5
--- a/tests/test_announcement_store.py
+++ b/tests/test_announcement_store.py
@@ -9,7 +9,7 @@
 from gooseberrylink.backends.announcement_store import AnnouncementStore
 from gooseberrylink.backends.client import Announcement
 from gooseberrylink.backends.incarnations import IncarnationTracker
-from gooseberrylink.backends.leased import ControlReply, RunReport
+from gooseberrylink.backends.runs import ControlReply, RunReport
 from gooseberrylink.metrics import Metrics
 
 TABLE = "gooseberrylink-backends"
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -5,12 +5,8 @@
 import pytest
 import trio
 
-from gooseberrylink.backends.leased import (
-    ControlReply,
-    EndKind,
-    LeasedBackendClient,
-    LeaseSettings,
-)
+from gooseberrylink.backends.leased import LeasedBackendClient, LeaseSettings
+from gooseberrylink.backends.runs import ControlReply, EndKind
 from gooseberrylink.codes import Code
 from gooseberrylink.metrics import Metrics
 from gooseberrylink.platform.common import link_settings
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -3,11 +3,8 @@
 import pytest
 import trio
 
-from gooseberrylink.backends.leased import (
-    LeasedBackendClient,
-    LeaseSettings,
-    StartReply,
-)
+from gooseberrylink.backends.leased import LeasedBackendClient, LeaseSettings
+from gooseberrylink.backends.runs import StartReply
 from gooseberrylink.codes import Code
 from gooseberrylink.metrics import Metrics
 from gooseberrylink.peers.messages import Status
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -15,7 +15,7 @@
 from gooseberrylink.addresses import split_address
 from gooseberrylink.agent import Agent
 from gooseberrylink.backends import announcement_store
-from gooseberrylink.backends.leased import (
+from gooseberrylink.backends.runs import (
     ControlReply,
     LeaseRenewal,
     RunKey,
--- a/tests/test_withdrawn_jobs.py
+++ b/tests/test_withdrawn_jobs.py
@@ -21,7 +21,7 @@
 )
 
 from gooseberrylink.backends.client import Announcement
-from gooseberrylink.backends.leased import EndKind
+from gooseberrylink.backends.runs import EndKind
 from gooseberrylink.callers.disconnects import run_until_disconnect
 from gooseberrylink.codes import Code
 from gooseberrylink.exceptions import LinkClosedError
