Let the stand-in worker crash before it replies to a start

A task may crash its worker before the worker has replied to the start, and its run then looks like a start that was sent to a dead worker. No test held the limit of crashes for this case. With crash_s 0 the stand-in now crashes while it executes the start, and sends no reply.

The new tests hold it to four crashes in one submission and to five over two entries, the first of which is killed.

--- a/gooseberrylink/standins/leased_backend.py
+++ b/gooseberrylink/standins/leased_backend.py
@@ -51,7 +51,8 @@
     """Runs tasks by waiting; implements RunClient.
 
     A payload is {"name": ..., "run_s": ..., "units": ...}. With "crash_s" as well, the
-    backend server crashes that many seconds after it started the task.
+    backend server crashes that many seconds after it started the task. With 0, it
+    crashes before it replies to the start.
 
     Attributes:
         name: Name of its worker.
@@ -134,13 +135,18 @@
         self.fencing_token = self._last_end_number = self._lease_end_ms = 0
 
     async def _crash_later(self, key: RunKey, delay_s: float) -> None:
-        """Crashes while the run is in progress, and restarts after a while."""
+        """Crashes if the run is still in progress then."""
         await trio.sleep(delay_s)
-        if key not in self._running:
-            return
+        if key in self._running:
+            self._crash_because_of(key)
+
+    def _crash_because_of(self, key: RunKey) -> None:
         self.crashed_by.append(key.name)
         self.is_unresponsive = True
         self.crash()
+        self._nursery.start_soon(self._become_responsive_later)
+
+    async def _become_responsive_later(self) -> None:
         await trio.sleep(self.restart_s)
         self.is_unresponsive = False
 
@@ -215,8 +221,11 @@
         execution_delay_s = self._draw_execution_delay_s()
         if execution_delay_s == 0.0:
             await trio.sleep(reply_delay_s)
-            return request(False)
-        if execution_delay_s < math.inf:
+            born_ms = self.born_ms
+            reply = request(False)
+            if self.born_ms == born_ms:
+                return reply
+        elif execution_delay_s < math.inf:
             late_request = functools.partial(request, True)
             self._nursery.start_soon(
                 self._execute_later, late_request, execution_delay_s
@@ -265,8 +274,11 @@
         self._progress_s[key] = 0.0
         in_use = sum(other.units for other in self._running.values())
         self.peak_units = max(self.peak_units, in_use)
-        if "crash_s" in payload:
-            self._nursery.start_soon(self._crash_later, key, payload["crash_s"])
+        crash_s = payload.get("crash_s")
+        if crash_s == 0:
+            self._crash_because_of(key)
+        elif crash_s is not None:
+            self._nursery.start_soon(self._crash_later, key, crash_s)
         return StartReply.STARTED
 
     def _stop(self, key: RunKey, fencing_token: int) -> ControlReply:
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -119,6 +119,44 @@
     run_deployment_with_leases(test)
 
 
+def make_job_that_crashes_before_the_reply(label: str) -> JobRequest:
+    """Returns a job of one task; a worker that starts it crashes before it replies."""
+    job = make_crashing_job(label, 0.1, crash_s=0)
+    return dataclasses.replace(job, deadline_s=40.0)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_task_that_crashes_workers_before_they_reply_is_given_up(
+    run_deployment_with_leases, seed
+):
+    async def test(deployment, workers):
+        (entry,) = deployment.entries
+        answer = await entry.submit(make_job_that_crashes_before_the_reply("a"))
+        assert len(find_crashes(workers)) <= 4
+        assert answer.code is Code.WORKERS_CRASHED
+
+    run_deployment_with_leases(test, seed=seed)
+
+
+# Such a loss shows only when the worker is back, 3 s after the crash.
+@pytest.mark.parametrize("killed_after_s", [0.1, 2.0, 3.5, 5.0, 7.0, 8.5, 10.5, 12.0])
+def test_job_sent_again_crashes_at_most_five_workers_before_they_reply(
+    run_deployment_with_leases, killed_after_s
+):
+    async def test(deployment, workers):
+        first, second = deployment.entries
+        job = make_job_that_crashes_before_the_reply("a")
+        deployment.start_soon(lambda: submit_and_discard_answer(first, job))
+        await trio.sleep(killed_after_s)
+        await deployment.kill_entry(first)
+        await trio.sleep(RESUBMIT_AFTER_S)
+        answer = await second.submit(job)
+        assert len(find_crashes(workers)) <= 5
+        assert answer.code is Code.WORKERS_CRASHED
+
+    run_deployment_with_leases(test, entries=2)
+
+
 @pytest.mark.parametrize("seed", range(8))
 def test_jobs_beside_a_task_that_crashes_workers_complete(
     run_deployment_with_leases, seed
