--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -462,6 +462,7 @@
                 assign.assignment_id,
                 outcome.is_crash_suspect,
                 outcome.is_crash,
+                outcome.is_start_unanswered,
             )
             self._report_lost_run(lost_run, now_s)
             if not lost_run.is_crash:
@@ -540,6 +541,7 @@
             run=lost_run.task_name,
             suspect=lost_run.is_suspect,
             crash=lost_run.is_crash,
+            unanswered=lost_run.is_start_unanswered,
         )
         for peer in self._peers.values():
             peer.report_lost_run(lost_run)
--- a/gooseberrylink/backends/client.py
+++ b/gooseberrylink/backends/client.py
@@ -23,6 +23,8 @@
         is_crash: Whether a newer incarnation shows that it crashed.
         is_crash_suspect: Whether that was so soon after the start that the task may
             have crashed the backend server.
+        is_start_unanswered: Whether the backend server did not confirm the start, so
+            that the task may not have run at all.
     """
 
     status: Status
@@ -33,6 +35,7 @@
     is_backend_lost: bool = False
     is_crash: bool = False
     is_crash_suspect: bool = False
+    is_start_unanswered: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -360,6 +360,7 @@
             is_backend_lost=run.is_backend_lost,
             is_crash=run.is_backend_lost and run.is_crash,
             is_crash_suspect=run.is_backend_lost and _may_have_crashed_backend(run),
+            is_start_unanswered=run.started_s is None,
         )
 
     def _finish(self, run: _Run, kind: EndKind, is_backend_lost: bool = False) -> None:
--- a/gooseberrylink/peers/messages.py
+++ b/gooseberrylink/peers/messages.py
@@ -155,12 +155,15 @@
         is_suspect: Whether the backend server was lost shortly after it started the
             run, so that the task may have crashed it.
         is_crash: Whether a newer incarnation shows that the backend server crashed.
+        is_start_unanswered: Whether the backend server did not confirm the start, so
+            that it may have crashed before it received the request.
     """
 
     task_name: str
     assignment_id: str
     is_suspect: bool
     is_crash: bool = False
+    is_start_unanswered: bool = False
 
 
 class ConfigUpdate(msgspec.Struct, tag="c", array_like=True):
