Show that entries killed in turn let a task crash six workers before they reply

A task that crashes its workers before they reply is given up after four crashes. Such a loss is reported only when the worker is back, three seconds later. If the entry is killed 0.1 s after each crash, the job is sent again 1.4 s after it, and two crashes are not known then. With five entries killed in turn:

AssertionError: assert 6 < 6

A report of a start without a reply as soon as the worker is silent, before a crash is certain, would let the next entry wait; not tried.

--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -157,6 +157,29 @@
     run_deployment_with_leases(test, entries=2)
 
 
+def test_entries_killed_at_each_crash_before_the_reply_do_not_crash_more_workers(
+    run_deployment_with_leases,
+):
+    # Two crashes are not known yet when the job is sent again.
+    async def test(deployment, workers):
+        *killed, last = deployment.entries
+        job = make_job_that_crashes_before_the_reply("a")
+        for count, entry in enumerate(killed, start=1):
+            deployment.start_soon(
+                functools.partial(submit_and_discard_answer, entry, job)
+            )
+            with trio.move_on_after(10.0):
+                while len(find_crashes(workers)) < count:
+                    await trio.sleep(0.01)
+            await trio.sleep(0.1)
+            await deployment.kill_entry(entry)
+            await trio.sleep(RESUBMIT_AFTER_S)
+        await last.submit(job)
+        assert len(find_crashes(workers)) < 6
+
+    run_deployment_with_leases(test, entries=6, workers=12)
+
+
 @pytest.mark.parametrize("seed", range(8))
 def test_jobs_beside_a_task_that_crashes_workers_complete(
     run_deployment_with_leases, seed
