Show that a crash is blamed on tasks that had left the worker before

A task gets code 204 if its job is sent again after it was lost at two workers that were silent for 1.8 s, came back, and crashed later while it ran elsewhere:

AssertionError: assert <Code.WORKERS_CRASHED: 204> is <Code.OK: 0> detail='2 workers crashed or fell silent after task 0 was sent there'

The agent keeps the runs that were lost in silence, and reports all of them as lost in a crash when a newer incarnation appears (Agent.handle_crash). It keeps them also after the same incarnation has replied again.

Found while looking for other requests that are blamed on a task.

--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -349,6 +349,43 @@
     run_deployment_with_leases(test)
 
 
+def test_task_lost_in_silence_is_not_given_up_for_a_later_crash(
+    run_deployment_with_leases,
+):
+    # Both workers are back before they crash, while the task runs elsewhere.
+    async def test(deployment, workers):
+        async def fall_silent(worker):
+            worker.is_unresponsive = True
+            await trio.sleep(1.8)
+            worker.is_unresponsive = False
+
+        async def find_worker_of(attempt):
+            while True:
+                for worker in workers:
+                    if any(run.key.attempt == attempt for run in worker.runs):
+                        return worker
+                await trio.sleep(0.01)
+
+        (entry,) = deployment.entries
+        codes = {}
+        silenced = []
+        async with trio.open_nursery() as nursery:
+            job = dataclasses.replace(make_job("a", 2.0), deadline_s=20.0)
+            nursery.start_soon(submit_and_record_code, entry, job, codes)
+            for attempt in (1, 2):
+                silenced.append(await find_worker_of(attempt))
+                await trio.sleep(0.02)
+                nursery.start_soon(fall_silent, silenced[-1])
+            assert await find_worker_of(3) not in silenced
+            assert not any(worker.is_unresponsive for worker in silenced)
+            for worker in silenced:
+                worker.crash()
+        assert codes == {"a": Code.OK}
+        assert (await entry.submit(make_job("a", 0.2))).code is Code.OK
+
+    run_deployment_with_leases(test)
+
+
 def make_tracker(deployment, worker: FakeLeasedBackend):
     """Attaches a worker by its announcement; returns a function that announces it."""
     agent = deployment.agents[worker.name]
