Blame no task for a crash that came after it had left the worker

Callers got code 204 (WORKERS_CRASHED) for a sound task whose job was sent again: it had been lost at two workers that were silent for 1.8 s, came back, and crashed later, while it ran elsewhere.

Cause: an agent keeps the runs that were lost in a silence of its worker, because only the next incarnation shows that the silence was a crash, and reports them as lost in a crash then. It kept them also when the same incarnation had replied again, which shows the opposite. The class of fault: a message about the present taken for one about the past.

Why it works: renewals follow one another, so a reply of the known incarnation to one requested after the lease had lapsed proves that the worker was up all the while. The agent forgets the runs lost in that silence then. Ruled out: a time limit, as crashed workers may be away for any time.

--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -532,6 +532,10 @@
             )
         self._runs_lost_in_silence.clear()
 
+    def handle_recovery(self) -> None:
+        """Forgets the runs lost in a silence that was no crash."""
+        self._runs_lost_in_silence.clear()
+
     def _report_lost_run(self, lost_run: LostRun, now_s: float) -> None:
         """Reports a run that was lost with the backend server to all entries."""
         self.crash_history.record(lost_run, now_s)
--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -173,6 +173,7 @@
         on_availability_change: Callable[[], None],
         lease_limit_s: Callable[[], float] = lambda: math.inf,
         on_crash: Callable[[], None] = lambda: None,
+        on_recovery: Callable[[], None] = lambda: None,
     ):
         """Creates a client that is not open yet.
 
@@ -185,6 +186,8 @@
             lease_limit_s: Returns the time beyond which no lease may be requested now.
             on_crash: Called when a newer incarnation shows that the backend server
                 crashed. Its runs may have ended before.
+            on_recovery: Called when the same incarnation replies again after a silence,
+                so that the runs that ended in it were not lost in a crash.
         """
         self.is_open = False
         self._client = client
@@ -194,6 +197,7 @@
         self._on_availability_change = on_availability_change
         self._lease_limit_s = lease_limit_s
         self._on_crash = on_crash
+        self._on_recovery = on_recovery
         self._runs: dict[RunKey, _Run] = {}
         self._last_end_number = 0
         self._unanswered_start_count = 0
@@ -444,6 +448,8 @@
         report = await self._client.renew(renewal)
         if isinstance(report, RunReport):
             self._last_reply_s = self._last_sign_of_life_s = trio.current_time()
+            if not self._is_responsive and report.born_ms == self._born_ms:
+                self._on_recovery()
             self._is_responsive = True
             self._apply_report(report, report_requested_s)
             return
--- a/gooseberrylink/platform/agent_program.py
+++ b/gooseberrylink/platform/agent_program.py
@@ -110,6 +110,7 @@
             agent.handle_availability_change,
             agent.run_lease_limit_s,
             agent.handle_crash,
+            agent.handle_recovery,
         )
 
 
--- a/gooseberrylink/standins/deployment.py
+++ b/gooseberrylink/standins/deployment.py
@@ -188,6 +188,7 @@
             agent.handle_availability_change,
             agent.run_lease_limit_s,
             agent.handle_crash,
+            agent.handle_recovery,
         )
         incarnations = IncarnationTracker(agent, lambda _: client)
         self.incarnations[backend.name] = incarnations
