Tell all entries which tasks crashed several workers

Cause: what an entry knows of lost runs stayed with that entry. It counted a run that ended with its agent, or whose agent was cut off, for itself only. And where there are more entries than an agent connects to, the entry that gets the job next may have no link with any agent that reported its losses.

Six entries, agents connected to two of them, job sent to each entry in turn: "assert 8 <= 3". Each entry killed 1.5 s or 4.5 s after it got the job: "assert 8 < 6" both times. The agent of each crashed worker killed, and the entry after 6 s: "assert 9 < 6". The fixture of these tests now waits for the links that agents open, as not every entry has a link to every agent. A fifth new case guards proof that comes later: if only runs that were unknown count as news (trial), it fails with "assert {} == {'a': WORKERS_CRASHED}".

Fix: an entry sends losses that are new to it to its agents (EntryFrame.lost_runs, appended), once the task is a suspect or was lost twice. An agent keeps what is new to it and reports it to its other entries, on later links, too. A later proof of a crash is news and follows. Each process passes on only news, and an entry whose history is full nothing, as forgotten runs would be news again. At most 1000 wait for a link.

Weighed, and left: - Only the owner of the job passes on: the proof comes about 3 s after the crash, when the owner may be dead, and it reaches only the entries that share an agent with it. - Only from the second loss on: entries killed in turn know one loss each.

A false report can reach all entries now, as it could before from an agent that dials all of them.

--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -71,7 +71,8 @@
         allocator: Divides the slots among entries.
         health: Quarantines a backend server whose tasks fail.
         speed: Relative speed at which tasks run at present; 0 if unknown.
-        crash_history: Runs that were lost with this agent's backend servers.
+        crash_history: Runs that were lost with this agent's backend servers, and
+            those that entries passed on.
     """
 
     def __init__(
@@ -323,6 +324,7 @@
         self.allocator.update_demand(peer.incarnation, frame, now_s)
         peer.quarantined_share = frame.quarantined_share
         self._aggregate_customer_demands(peer, frame.customer_demands_per_s, now_s)
+        self._pass_on_lost_runs(peer, frame.lost_runs, now_s)
         for item in frame.items:
             match item:
                 case Assign():
@@ -544,6 +546,17 @@
         for peer in self._peers.values():
             peer.report_lost_run(lost_run)
 
+    def _pass_on_lost_runs(
+        self, sender: EntryPeer, lost_runs: list[LostRun], now_s: float
+    ) -> None:
+        """Reports lost runs that one entry knows to the others, if new here."""
+        for lost_run in lost_runs:
+            if self.crash_history.record(lost_run, now_s):
+                self.metrics.add("lost_runs_passed_on")
+                for peer in self._peers.values():
+                    if peer is not sender:
+                        peer.report_lost_run(lost_run)
+
     def _record_failure(self, assign: Assign, now_s: float) -> None:
         if self.health.record_failure(_make_failure(assign), now_s):
             self.metrics.add("quarantines")
--- a/gooseberrylink/crash_history.py
+++ b/gooseberrylink/crash_history.py
@@ -2,9 +2,10 @@
 
 A task may crash each backend server that starts it. Its runs look like those of the
 tasks beside it, which are lost as well, so a task is given up only after several
-crashes. Agents report each lost run to all entries, because the job may be submitted
-again to an entry that has assigned none of its tasks. At first a lost run only shows
-that its backend server is silent; the report is repeated once a crash is certain.
+crashes. Agents report each lost run to their entries, because the job may be submitted
+again to an entry that has assigned none of its tasks. Entries pass on what concerns all
+entries to their agents, and these to their other entries. At first a lost run only
+shows that its backend server is silent; the report is repeated once a crash is certain.
 """
 
 import collections
@@ -17,9 +18,13 @@
 # Crashes at any time after which a task is given up. It may crash backend servers later
 # than shortly after its start.
 _MAX_CRASHES = 3
+# Losses of a task from which all entries are to know them, even if it is no suspect.
+_MIN_SHARED_LOSSES = 2
 # Longer than the time in which callers submit a job again.
 _RETENTION_S = 120.0
 _MAX_LOST_RUNS = 1000
+# Lost runs that wait for one link at most. If there are more, the oldest are left out.
+MAX_LOST_RUNS_A_FRAME = 1000
 # A rack of a large site can lose a thousand runs at once.
 MAX_LOST_RUNS_AT_ENTRY = 10_000
 
@@ -39,25 +44,30 @@
         self._recorded: collections.deque[tuple[float, LostRun]] = collections.deque()
         self._lost_runs: dict[str, dict[str, LostRun]] = {}
 
-    def record(self, lost_run: LostRun, now_s: float) -> None:
+    def record(self, lost_run: LostRun, now_s: float) -> bool:
         """Adds a run whose task has a name, or adds to what is known of it.
 
         A run counts as suspect, or as lost in a crash, once any report says so.
+
+        Returns:
+            Whether this was not known before.
         """
         if not lost_run.task_name:
-            return
+            return False
         self._forget_old(now_s)
         of_task = self._lost_runs.setdefault(lost_run.task_name, {})
         known = of_task.get(lost_run.assignment_id)
         if known is None:
             self._recorded.append((now_s, lost_run))
-            known = lost_run
+            of_task[lost_run.assignment_id] = lost_run
+            return True
         of_task[lost_run.assignment_id] = LostRun(
             lost_run.task_name,
             lost_run.assignment_id,
             known.is_suspect or lost_run.is_suspect,
             known.is_crash or lost_run.is_crash,
         )
+        return of_task[lost_run.assignment_id] != known
 
     def recent(self, now_s: float) -> list[LostRun]:
         """Returns all runs that are kept, oldest first."""
@@ -67,6 +77,22 @@
             for _, lost_run in self._recorded
         ]
 
+    def to_share(self, lost_run: LostRun) -> list[LostRun]:
+        """Returns the runs that other entries are to know, now that one was recorded.
+
+        A task concerns all entries once it is a suspect or was lost twice. The many
+        single losses of a rack that crashed are left to the agents' own reports.
+        """
+        # A full history forgets runs, which would be new to it again and never stop
+        # going round.
+        is_full = len(self._recorded) >= self._max_lost_runs
+        if is_full or not self._concerns_all_entries(lost_run.task_name):
+            return []
+        of_task = self._lost_runs[lost_run.task_name]
+        if len(of_task) == _MIN_SHARED_LOSSES:
+            return list(of_task.values())
+        return [of_task[lost_run.assignment_id]]
+
     def count_losses(self, task_name: str) -> int:
         """Returns how many runs of a task were lost."""
         return len(self._lost_runs.get(task_name, ()))
@@ -91,6 +117,10 @@
             or self.count_losses(task_name) >= _MAX_CRASHES
         )
 
+    def _concerns_all_entries(self, task_name: str) -> bool:
+        losses = self.count_losses(task_name)
+        return losses >= _MIN_SHARED_LOSSES or self.is_suspect(task_name)
+
     def _count_suspect_losses(self, task_name: str) -> int:
         lost_runs = self._lost_runs.get(task_name, {}).values()
         return sum(lost_run.is_suspect for lost_run in lost_runs)
--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -330,9 +330,30 @@
         self._metrics.add("tasks_in_doubt", reason)
         # The worker may have crashed as well, which its agent has not reported.
         lost_run = LostRun(task.spec.name, task.assignment_id, is_suspect=False)
-        self.crash_history.record(lost_run, trio.current_time())
+        self.record_lost_run(lost_run)
         return self._rerun(task, reason)
 
+    def record_lost_run(
+        self, lost_run: LostRun, reporter: AgentPeer | None = None
+    ) -> None:
+        """Records a lost run; sends it to the agents if it concerns all entries.
+
+        An agent reports it to its other entries, to which the job may be submitted
+        again. Each process passes on only what is new to it, so that this ends.
+
+        Args:
+            lost_run: The run.
+            reporter: The agent that reported it; None if none did.
+        """
+        if not self.crash_history.record(lost_run, trio.current_time()):
+            return
+        to_share = self.crash_history.to_share(lost_run)
+        if not to_share:
+            return
+        for peer in itertools.chain.from_iterable(p.peers for p in self.pools()):
+            if peer is not reporter or len(to_share) > 1:
+                peer.share_lost_runs(to_share)
+
     def handle_agent_disconnected(self, peer: AgentPeer) -> None:
         """Records when the leases of a disconnected agent's tasks will expire.
 
--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -7,6 +7,7 @@
 import msgspec
 import trio
 
+from gooseberrylink.crash_history import MAX_LOST_RUNS_A_FRAME
 from gooseberrylink.logs import log_event
 from gooseberrylink.peers.config_push import decompress_update
 from gooseberrylink.peers.link import Link
@@ -18,6 +19,7 @@
     ConfigUpdate,
     EntryFrame,
     Host,
+    LostRun,
     Result,
     Revoke,
     decode_at_entry,
@@ -109,6 +111,9 @@
         self._trial_ends_s = float("-inf")
         self._stopped_serving_s = float("-inf")
         self._pending_acks: list[str] = []
+        self._unsent_lost_runs: collections.deque[LostRun] = collections.deque(
+            maxlen=MAX_LOST_RUNS_A_FRAME
+        )
         self.config_version = 0
 
     @property
@@ -228,6 +233,12 @@
         if len(self._pending_acks) >= _MAX_PENDING_ACKS:
             self.outbox.wake_sender()
 
+    def share_lost_runs(self, lost_runs: list[LostRun]) -> None:
+        """Sends lost runs with the next frame, for the agent's other entries."""
+        if self.is_connected:
+            self._unsent_lost_runs.extend(lost_runs)
+            self.outbox.wake_sender()
+
     async def serve(self, link: Link, hello: AgentHello) -> None:
         """Serves a new link until it closes; an earlier link is closed first.
 
@@ -271,6 +282,7 @@
         self.config_version = hello.config_version
         session.record_peer_config_version(hello.config_version)
         self.advertised_demand = 0
+        self._unsent_lost_runs.clear()
         log_event(
             "agent_connected",
             worker=self.worker,
@@ -360,7 +372,7 @@
             )
         self.config_version = frame.config_version
         for lost_run in frame.lost_runs:
-            self._entry.dispatcher.crash_history.record(lost_run, self.last_frame_s)
+            self._entry.dispatcher.record_lost_run(lost_run, reporter=self)
         for item in frame.items:
             match item:
                 case Result():
@@ -412,6 +424,8 @@
         demands, self.customer_demands_per_s = self.customer_demands_per_s, {}
         demand, demand_long = pool.demand_to_advertise(self, now_s)
         self.set_advertised_demand(demand + demand_long, now_s)
+        lost_runs = list(self._unsent_lost_runs)
+        self._unsent_lost_runs.clear()
         return EntryFrame(
             sent_s=self._agent_clock_s + now_s - self.last_frame_s,
             demand=demand,
@@ -422,4 +436,5 @@
             config_version=self._entry.configuration.version,
             customer_demands_per_s=demands,
             items=items,
+            lost_runs=lost_runs,
         )
--- a/gooseberrylink/peers/entry_peer.py
+++ b/gooseberrylink/peers/entry_peer.py
@@ -1,10 +1,12 @@
 """Tracks one entry at an agent and keeps a link to it open."""
 
+import collections
 from typing import TYPE_CHECKING, Any
 
 import msgspec
 import trio
 
+from gooseberrylink.crash_history import MAX_LOST_RUNS_A_FRAME
 from gooseberrylink.exceptions import LinkClosedError
 from gooseberrylink.logs import log_event
 from gooseberrylink.peers.link import Link
@@ -57,7 +59,9 @@
         self._session: Session | None = None
         self._units_received = 0
         self._host_sent: Host | None = None
-        self._unsent_lost_runs: list[LostRun] = []
+        self._unsent_lost_runs: collections.deque[LostRun] = collections.deque(
+            maxlen=MAX_LOST_RUNS_A_FRAME
+        )
         self._has_failed = False
 
     @property
@@ -137,7 +141,10 @@
         self._units_received = 0
         self._host_sent = None
         # Reported to every entry, also to one that has just started.
-        self._unsent_lost_runs = self._agent.crash_history.recent(trio.current_time())
+        self._unsent_lost_runs.clear()
+        self._unsent_lost_runs.extend(
+            self._agent.crash_history.recent(trio.current_time())
+        )
         log_event("entry_connected", entry=hello.entry, address=self.address)
         self._agent.handle_entry_connected(self)
         # The old link may have lost results or their acknowledgements.
@@ -200,7 +207,8 @@
         free_units = allocator.free_units_for(self.incarnation)
         host = agent.host if agent.host != self._host_sent else None
         self._host_sent = agent.host
-        lost_runs, self._unsent_lost_runs = self._unsent_lost_runs, []
+        lost_runs = list(self._unsent_lost_runs)
+        self._unsent_lost_runs.clear()
         return AgentFrame(
             clock_s=now_s,
             free_units=free_units,
--- a/gooseberrylink/peers/messages.py
+++ b/gooseberrylink/peers/messages.py
@@ -190,6 +190,8 @@
         customer_demands_per_s: Demand at this entry, in tasks per second, of
             customers that are close to their quota. Only customers for which this
             agent sums up the demand of all entries are included.
+        lost_runs: Lost runs that concern all entries and are new to this one. The
+            agent reports those that it did not know to its other entries.
     """
 
     sent_s: float
@@ -201,6 +203,7 @@
     config_version: int = 0
     customer_demands_per_s: dict[str, float] = {}
     items: list[Assign | Revoke | Ack | ConfigUpdate] = []
+    lost_runs: list[LostRun] = []
 
 
 class AgentFrame(msgspec.Struct, tag="af", array_like=True):
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -64,7 +64,11 @@
 def run_deployment_with_leases(run_on_deployment):
     """Returns a function that runs a test on workers whose tasks run under leases."""
 
-    def run(test, entries: int = 1, workers: int = 8, seed: int = 0):
+    def run(
+        test, entries: int = 1, workers: int = 8, seed: int = 0, max_entries: int = 8
+    ):
+        """Runs a test; each agent connects to at most max_entries entries."""
+
         async def main(deployment):
             async with trio.open_nursery() as nursery:
                 for number in range(entries):
@@ -74,8 +78,14 @@
                     fake = FakeLeasedBackend(f"tank-{number + 1}", nursery)
                     nursery.start_soon(fake.advance_runs)
                     fakes.append(fake)
-                    await deployment.add_agent_with_leases(fake)
-                await deployment.wait_connected()
+                    await deployment.add_agent_with_leases(
+                        fake, max_entries=max_entries
+                    )
+                links = workers * min(entries, max_entries)
+                while sum(map(count_connected_agents, deployment.entries)) < links:
+                    await trio.sleep(0.01)
+                while not all(entry.is_ready for entry in deployment.entries):
+                    await trio.sleep(0.01)
                 await test(deployment, fakes)
                 nursery.cancel_scope.cancel()
 
@@ -84,6 +94,11 @@
     return run
 
 
+def count_connected_agents(entry) -> int:
+    """Returns the number of agents that have a link to an entry."""
+    return sum(peer.is_connected for peer in entry.peers.values())
+
+
 def find_crashes(workers: list[FakeLeasedBackend]) -> list[str]:
     """Returns the task of each crash of a worker."""
     return [name for worker in workers for name in worker.crashed_by]
@@ -476,3 +491,89 @@
         assert len(find_crashes(workers)) < 6
 
     run_deployment_with_leases(test, entries=2, workers=12)
+
+
+def test_losses_reach_entries_that_share_no_agent_with_the_entry_of_the_job(
+    run_deployment_with_leases,
+):
+    # Each agent is connected to two of six entries, so most entries have no link with
+    # the agents of the workers that crashed.
+    async def test(deployment, workers):
+        job = make_crashing_job("a", *[0.1] * 2)
+        for entry in deployment.entries:
+            await entry.submit(job)
+            await trio.sleep(RESUBMIT_AFTER_S)
+        assert len(find_crashes(workers)) <= 3
+
+    run_deployment_with_leases(test, entries=6, workers=11, max_entries=2)
+
+
+@pytest.mark.parametrize("killed_after_s", [1.5, 4.5])
+def test_job_whose_entries_are_killed_in_turn_crashes_fewer_than_six_workers(
+    run_deployment_with_leases, killed_after_s
+):
+    async def test(deployment, workers):
+        job = make_crashing_job("a", *[0.1] * 2)
+        for entry in list(deployment.entries):
+            deployment.start_soon(
+                functools.partial(submit_and_discard_answer, entry, job)
+            )
+            await trio.sleep(killed_after_s)
+            await deployment.kill_entry(entry)
+            await trio.sleep(RESUBMIT_AFTER_S)
+        assert len(find_crashes(workers)) < 6
+
+    run_deployment_with_leases(test, entries=6, workers=11, max_entries=2)
+
+
+def test_agents_and_entry_killed_at_each_crash_do_not_let_a_task_crash_more_workers(
+    run_deployment_with_leases,
+):
+    # An agent that is killed reports no loss, and the entry that counted its tasks as
+    # lost is killed as well.
+    async def test(deployment, workers):
+        async def kill_agents_of_crashed_workers():
+            while True:
+                await trio.sleep(0.1)
+                for worker in workers:
+                    if worker.crashed_by and worker.name in deployment.agents:
+                        deployment.kill_agent(worker.name)
+
+        deployment.start_soon(kill_agents_of_crashed_workers)
+        job = make_crashing_job("a", *[0.1] * 2)
+        for entry in list(deployment.entries):
+            deployment.start_soon(
+                functools.partial(submit_and_discard_answer, entry, job)
+            )
+            await trio.sleep(6.0)
+            await deployment.kill_entry(entry)
+            await trio.sleep(RESUBMIT_AFTER_S)
+        assert len(find_crashes(workers)) < 6
+
+    run_deployment_with_leases(test, entries=3, workers=11)
+
+
+def test_proof_of_crashes_reaches_entries_that_were_told_of_the_losses(
+    run_deployment_with_leases,
+):
+    # The entry that gets the job again waited for proof that only the other one had.
+    async def test(deployment, workers):
+        first, second = deployment.entries
+        for is_crash in (False, True):
+            for number in range(2):
+                first.dispatcher.record_lost_run(
+                    LostRun("a.0", f"other/{number}", True, is_crash)
+                )
+            await trio.sleep(0.5)
+            if not is_crash:
+                codes = {}
+                job = make_crashing_job("a", 0.1)
+                deployment.start_soon(
+                    functools.partial(submit_and_record_code, second, job, codes)
+                )
+                await trio.sleep(0.5)
+                assert not codes
+        assert codes == {"a": Code.WORKERS_CRASHED}
+        assert not any(worker.runs for worker in workers)
+
+    run_deployment_with_leases(test, entries=2, max_entries=2)
