Report a start without a reply as lost while its worker is silent

A task that crashes its workers before they reply crashed six of them, where the sixth breaks BUDGET: five entries were killed in turn, 0.1 s after each crash, and the job was sent again to the next one 1.3 s later.

Cause: a run whose start got no reply has not certainly ended until its worker replies again, some 3 s after the crash. The agent reported the loss only then, so the next entry did not know of the last two crashes. The class of fault: the state of a retry budget that arrives later than the next retry.

Why it works: once the last lease of a silent worker has ended, the agent reports such a run to its entries as lost, without proof of a crash. That alone gives no task up; it makes the next entry wait for the proof if it would be too many crashes. The run itself still counts as possibly running until its end is certain. If the same incarnation replies later, the loss stays without proof.

--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -525,6 +525,24 @@
             self._record_failure(assign, now_s)
         self._update_task_limit()
 
+    def handle_start_in_doubt(self, task_id: str, is_crash_suspect: bool) -> None:
+        """Reports a run that may have been lost before its start was confirmed.
+
+        Its end is certain only once the backend server replies. Until then another
+        entry may receive the job again.
+        """
+        now_s = trio.current_time()
+        for record in self._running.values():
+            assign = record.assign
+            if assign.task_id == task_id and assign.task_name:
+                lost_run = LostRun(
+                    assign.task_name,
+                    assign.assignment_id,
+                    is_crash_suspect,
+                    is_start_unanswered=True,
+                )
+                self._report_lost_run(lost_run, now_s)
+
     def handle_crash(self) -> None:
         """Reports that runs were lost in a crash whose cause was unknown before."""
         now_s = trio.current_time()
--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -127,6 +127,7 @@
         is_crash: Whether it ended because a newer incarnation was seen.
         is_stalled: Whether the run was stopped because of missing progress.
         end: How the run ended; None before.
+        is_in_doubt: Whether on_start_in_doubt was called for it.
         is_stopping: Whether a stop was requested.
         stop_requests: How many requests to stop it were sent.
         stop_settled: Set when a stop is confirmed or the run has ended.
@@ -148,6 +149,7 @@
     is_crash: bool = False
     is_stalled: bool = False
     end: EndKind | None = None
+    is_in_doubt: bool = False
     is_stopping: bool = False
     stop_requests: int = 0
     stop_settled: trio.Event = dataclasses.field(default_factory=trio.Event)
@@ -174,6 +176,7 @@
         lease_limit_s: Callable[[], float] = lambda: math.inf,
         on_crash: Callable[[], None] = lambda: None,
         on_recovery: Callable[[], None] = lambda: None,
+        on_start_in_doubt: Callable[[str, bool], None] = lambda task_id, suspect: None,
     ):
         """Creates a client that is not open yet.
 
@@ -188,6 +191,9 @@
                 crashed. Its runs may have ended before.
             on_recovery: Called when the same incarnation replies again after a silence,
                 so that the runs that ended in it were not lost in a crash.
+            on_start_in_doubt: Called with a task's id, and whether it may have crashed
+                the backend server, when a start has no reply and the last lease of the
+                silent backend server has ended.
         """
         self.is_open = False
         self._client = client
@@ -198,6 +204,7 @@
         self._lease_limit_s = lease_limit_s
         self._on_crash = on_crash
         self._on_recovery = on_recovery
+        self._on_start_in_doubt = on_start_in_doubt
         self._runs: dict[RunKey, _Run] = {}
         self._last_end_number = 0
         self._unanswered_start_count = 0
@@ -594,9 +601,12 @@
         if trio.current_time() <= self._lease_end_s:
             return
         for run in list(self._runs.values()):
-            # A run whose start request got no reply may still start.
             if run.started_s is not None:
                 self._finish(run, EndKind.LAPSED, is_backend_lost=True)
+            elif not (run.is_in_doubt or self._is_leaving):
+                # It has not certainly ended, as it may still start.
+                run.is_in_doubt = True
+                self._on_start_in_doubt(run.task_id, _may_have_crashed_backend(run))
 
     async def _set_not_open_when_silent(self) -> None:
         """Starts no new runs while the backend server does not reply."""
--- a/gooseberrylink/platform/agent_program.py
+++ b/gooseberrylink/platform/agent_program.py
@@ -111,6 +111,7 @@
             agent.run_lease_limit_s,
             agent.handle_crash,
             agent.handle_recovery,
+            agent.handle_start_in_doubt,
         )
 
 
--- a/gooseberrylink/standins/deployment.py
+++ b/gooseberrylink/standins/deployment.py
@@ -189,6 +189,7 @@
             agent.run_lease_limit_s,
             agent.handle_crash,
             agent.handle_recovery,
+            agent.handle_start_in_doubt,
         )
         incarnations = IncarnationTracker(agent, lambda _: client)
         self.incarnations[backend.name] = incarnations
