Rerun no task of a restarted agent before its last lease has ended

A worker drains with a task in progress, a newer worker replaces it beside the same agent, and the agent is killed and is back within 0.8 s.

Cause: entries take the hello of a restarted agent as proof that the runs of its earlier incarnation have ended, and rerun its tasks at once. The agent proves that for the worker it knows. A worker that was replaced and still drains is unknown to the next incarnation, and its runs go on until the last lease has ended. The class of fault: an end taken for proven without a reply of the worker that shows it.

Evidence: test_hello_of_a_restarted_agent_reruns_no_task_of_a_replaced_worker_early. With the agent back after 0.1, 0.3, 0.5 and 0.7 s it failed with

AssertionError: assert ['a.0'] == []

and not after 0.9 and 1.1 s, when the lease is over. All six cases pass now.

Why it works: the hello says how long runs of earlier incarnations may still take (AgentHello. earlier_runs_left_s, appended): until one lease, with clock drift and margin, after the agent's start. Entries serve the agent at once, and rerun its former tasks after that time.

Ruled out: a hello that waits for the lease, as the worker would idle; storing which workers still drain, as the store may be down just then.

The naive variant in test_faults.py takes the new argument, and is otherwise the same.

--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -111,6 +111,7 @@
         self._can_dial = False
         self._backend_opened = trio.Event()
         self._task_admitted = trio.Event()
+        self._started_s = trio.current_time()
         self._nursery: trio.Nursery | None = None
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -283,16 +284,19 @@
 
     def make_hello(self) -> AgentHello:
         """Returns the first frame to send on a new link."""
+        now_s = trio.current_time()
+        earlier_runs_end_s = self._started_s + self.settings.earlier_runs_end_s
         return AgentHello(
             worker=self.settings.worker,
             incarnation=self.incarnation,
             data_centre=self.settings.data_centre,
             service=self.service,
             slots=self.allocator.slots,
-            clock_s=trio.current_time(),
+            clock_s=now_s,
             entries=sorted(self._known_entries),
             config_version=self.configuration.version,
             speed_hint=self._announcement.speed_hint if self._announcement else 1.0,
+            earlier_runs_left_s=max(0.0, earlier_runs_end_s - now_s),
         )
 
     def add_known_entries(self, addresses: list[str]) -> None:
@@ -698,9 +702,11 @@
     # Maintenance.
 
     async def _dial_after_earlier_runs(self) -> None:
-        """Connects to entries once all runs of earlier incarnations have ended.
+        """Connects to entries once the backend server has no earlier runs.
 
-        An entry takes the hello of this incarnation as proof that they have ended.
+        An entry takes the hello of this incarnation as proof that the runs of earlier
+        ones have ended, or end within earlier_runs_left_s: an earlier incarnation may
+        have left runs at a backend server that has been replaced since.
         The agent therefore waits until the backend server opens, which shows that
         it listed all of its runs, that none is from an earlier incarnation, and that
         the fencing token bars late requests of one. A backend server may be gone for
--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -309,18 +309,32 @@
             self._remove_in_flight(peer, task)
             self.handle_not_started(task, "unsent")
 
-    def handle_agent_restart(self, peer: AgentPeer) -> None:
-        """Reruns the tasks in flight at a restarted agent, or fails their jobs."""
+    def handle_agent_restart(self, peer: AgentPeer, earlier_runs_left_s: float) -> None:
+        """Reruns the tasks in flight at a restarted agent, or fails their jobs.
+
+        Args:
+            peer: The agent.
+            earlier_runs_left_s: See AgentHello.
+        """
+        delay_s = min(earlier_runs_left_s, self.settings.rerun_after_silence_s)
         for task in list(peer.tasks_in_flight.values()):
-            if not self._reclaim_task(peer, task, "agent_lost"):
+            if not self._reclaim_task(peer, task, "agent_lost", delay_s):
                 detail = (
                     f"the agent of worker {peer.worker} was restarted during task"
                     f" {task.index}"
                 )
                 self._fail(task.job, Answer(Code.AGENT_LOST, detail))
 
-    def _reclaim_task(self, peer: AgentPeer, task: Task, reason: str) -> bool:
-        """Ends the assignment of a task that can't be running any more.
+    def _reclaim_task(
+        self, peer: AgentPeer, task: Task, reason: str, delay_s: float = 0.0
+    ) -> bool:
+        """Ends the assignment of a task whose agent has lost it.
+
+        Args:
+            peer: The agent.
+            task: A task in flight there.
+            reason: Reason of the rerun.
+            delay_s: Time after which the task can't be running any more.
 
         Returns:
             Whether the job allows reruns.
@@ -331,8 +345,16 @@
         # The worker may have crashed as well, which its agent has not reported.
         lost_run = LostRun(task.spec.name, task.assignment_id, is_suspect=False)
         self.record_lost_run(lost_run)
+        if delay_s > 0 and task.job.request.rerun_policy is not None:
+            self._nursery.start_soon(self._rerun_later, task, reason, delay_s)
+            return True
         return self._rerun(task, reason)
 
+    async def _rerun_later(self, task: Task, reason: str, delay_s: float) -> None:
+        await trio.sleep(delay_s)
+        if task.job.job_id in self.jobs:
+            self._rerun(task, reason)
+
     def record_lost_run(
         self, lost_run: LostRun, reporter: AgentPeer | None = None
     ) -> None:
--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -266,7 +266,7 @@
         if not is_same_incarnation:
             self._pending_acks.clear()
             self._earlier_incarnations.append(self.incarnation)
-            self._entry.dispatcher.handle_agent_restart(self)
+            self._entry.dispatcher.handle_agent_restart(self, hello.earlier_runs_left_s)
         self._session = session
         self.outbox = session.outbox
         self.incarnation = hello.incarnation
--- a/gooseberrylink/peers/messages.py
+++ b/gooseberrylink/peers/messages.py
@@ -50,6 +50,8 @@
         clock_s: The agent's monotonic clock.
         entries: Addresses of entries that the agent knows.
         speed_hint: Speed of the worker relative to a typical one; 1.0 if unknown.
+        earlier_runs_left_s: Longest time that runs of the agent's earlier incarnations
+            may still take, in seconds.
     """
 
     worker: str
@@ -61,6 +63,7 @@
     entries: list[str]
     config_version: int = 0
     speed_hint: float = 1.0
+    earlier_runs_left_s: float = 0.0
 
 
 class EntryHello(msgspec.Struct, tag="eh", array_like=True):
--- a/gooseberrylink/platform/agent_program.py
+++ b/gooseberrylink/platform/agent_program.py
@@ -15,6 +15,7 @@
 from gooseberrylink.logs import log_event
 from gooseberrylink.peers.tcp_link import TcpDialer
 from gooseberrylink.platform.common import (
+    EARLIER_RUNS_END_S,
     MAX_RUN_AFTER_LEASE_S,
     RERUN_AFTER_AGENT_END_S,
     RESPONSE_FLUSH_S,
@@ -138,6 +139,7 @@
         max_entries=_MAX_ENTRIES,
         probation_s=_PROBATION_S,
         dial_after_s=RERUN_AFTER_AGENT_END_S,
+        earlier_runs_end_s=EARLIER_RUNS_END_S,
         max_run_after_lease_s=MAX_RUN_AFTER_LEASE_S,
         **link_settings(),
     )
--- a/gooseberrylink/settings.py
+++ b/gooseberrylink/settings.py
@@ -68,6 +68,9 @@
             because it is silent (rerun_after_silence_s). The agent connects earlier
             once a backend server has listed its runs and none is from an earlier
             incarnation.
+        earlier_runs_end_s: Time after the agent's start by which runs of its earlier
+            incarnations have ended at all backend servers, also at those that were
+            replaced; 0 if an earlier incarnation leaves no runs.
         max_run_after_lease_s: How long tasks may run after the lease of their entry if
             the agent can't stop them, at a backend server with leases.
         retention_s: How long results are kept for their entry; must exceed the
@@ -100,6 +103,7 @@
     entries: list[Address] = []
     max_entries: int = Field(default=8, ge=1)
     dial_after_s: float = Field(default=0.0, ge=0)
+    earlier_runs_end_s: float = Field(default=0.0, ge=0)
     max_run_after_lease_s: Seconds = 0.35
     retention_s: Seconds = 600.0
     max_records: int = Field(default=20_000, ge=1)
--- a/tests/test_agent_restart.py
+++ b/tests/test_agent_restart.py
@@ -6,6 +6,7 @@
 from test_reruns import make_job
 from test_startup import PLATFORM_SETTINGS
 
+from gooseberrylink.backends.client import Announcement
 from gooseberrylink.codes import Code
 from gooseberrylink.platform import agent_program, entry_program
 from gooseberrylink.platform.common import link_settings
@@ -91,3 +92,57 @@
             nursery.cancel_scope.cancel()
 
     run_on_deployment(test)
+
+
+@pytest.mark.parametrize("restart_s", [0.1, 0.3, 0.5, 0.7, 0.9, 1.1])
+def test_hello_of_a_restarted_agent_reruns_no_task_of_a_replaced_worker_early(
+    run_on_deployment, platform_settings, restart_s
+):
+    # The worker drains with a task in progress, and the next incarnation of the agent
+    # knows only the one that replaces it.
+    agent_settings = agent_program._agent_settings(platform_settings).model_dump(
+        include={"dial_after_s", "earlier_runs_end_s", "max_run_after_lease_s"}
+    )
+
+    async def test(deployment):
+        async with trio.open_nursery() as nursery:
+            entry = await deployment.add_entry(
+                "entry-1", rerun_after_silence_s=2.6, **link_settings()
+            )
+
+            async def add_agent(worker, fencing_token=1):
+                await deployment.add_agent_with_leases(
+                    worker, fencing_token, **agent_settings, **link_settings()
+                )
+
+            replaced, replacement, other = workers = [
+                FakeLeasedBackend(name, nursery)
+                for name in ("tank-1", "tank-1", "tank-2")
+            ]
+            for worker in workers:
+                nursery.start_soon(worker.advance_runs)
+            await add_agent(replaced)
+            await deployment.wait_connected()
+            answers = []
+
+            async def submit():
+                answers.append(await entry.submit(make_job("a", 1.5)))
+
+            async with trio.open_nursery() as submit_nursery:
+                submit_nursery.start_soon(submit)
+                await trio.sleep(0.3)
+                announcement = Announcement("dispatch", "fake:1", 8)
+                deployment.incarnations["tank-1"].handle_announcement(
+                    announcement, 1, is_draining=True
+                )
+                await add_agent(other)
+                await trio.sleep(0.2)
+                deployment.kill_agent("tank-1")
+                await trio.sleep(restart_s)
+                await add_agent(replacement, fencing_token=2)
+            assert [answer.code for answer in answers] == [Code.OK]
+            assert len(replaced.runs) == 1
+            assert find_tasks_with_overlapping_runs(workers) == []
+            nursery.cancel_scope.cancel()
+
+    run_on_deployment(test)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -248,7 +248,7 @@
 def _reassign_on_restart(monkeypatch) -> None:
     """Reassigns the tasks in flight at an agent that restarted."""
 
-    def naive_handle_agent_restart(self, peer):
+    def naive_handle_agent_restart(self, peer, earlier_runs_left_s):
         for task in list(peer.tasks_in_flight.values()):
             self._remove_in_flight(peer, task)
             self.handle_not_started(task, "agent_lost")
