--- a/gooseberrylink/standins/leased_backend.py
+++ b/gooseberrylink/standins/leased_backend.py
@@ -21,7 +21,9 @@
 
 # Time after which a request without a reply is reported as UNANSWERED.
 _REPLY_TIMEOUT_S = 0.25
-_POLL_INTERVAL_S = 0.005
+# Delay of the reply to a request to start or stop a run.
+_REPLY_DELAY_S = 0.001
+POLL_INTERVAL_S = 0.005
 # Bounds of the delay after which a late request is executed.
 _LATE_REQUEST_DELAY_S = (2.0, 12.0)
 
@@ -64,6 +66,7 @@
             after this delay.
         late_share: Share of the requests, drawn at random, that get no reply but are
             executed seconds later.
+        are_renewals_late: Whether late_share counts for renewals of leases, too.
         counts_lease_from_arrival: Whether a late request grants its lease from the
             time of its execution, instead of until the requested end.
         is_hung: Whether runs make no progress.
@@ -92,6 +95,7 @@
         self.is_unresponsive = False
         self.execution_delay_s = 0.0
         self.late_share = 0.0
+        self.are_renewals_late = True
         self.counts_lease_from_arrival = False
         self.is_hung = False
         self.slowdown = 1.0
@@ -111,14 +115,18 @@
     async def advance_runs(self) -> None:
         """Advances the runs until cancelled; ends those whose lease has expired."""
         while True:
-            await trio.sleep(_POLL_INTERVAL_S)
-            for key, run in list(self._running.items()):
-                if self.clock_ms() > self._lease_end_ms:
-                    self._end(key, EndKind.LAPSED)
-                    continue
-                self._progress_s[key] += 0.0 if self.is_hung else _POLL_INTERVAL_S
-                if self._progress_s[key] >= run.run_s:
-                    self._end(key, EndKind.DONE)
+            await trio.sleep(POLL_INTERVAL_S)
+            self.advance_runs_once()
+
+    def advance_runs_once(self) -> None:
+        """Advances the runs by POLL_INTERVAL_S."""
+        for key, run in list(self._running.items()):
+            if self.clock_ms() > self._lease_end_ms:
+                self._end(key, EndKind.LAPSED)
+                continue
+            self._progress_s[key] += 0.0 if self.is_hung else POLL_INTERVAL_S
+            if self._progress_s[key] >= run.run_s:
+                self._end(key, EndKind.DONE)
 
     def crash(self) -> None:
         """Ends all runs as LOST and restarts as a new incarnation.
@@ -176,12 +184,11 @@
                 end_ms = self._granted_lease_end_ms(end_ms, sent_ms, is_late)
             return self._renew(renewal, end_ms)
 
-        reply = await self._execute(execute, ControlReply.UNANSWERED, reply_delay_s=0)
+        reply = await self._execute(execute, ControlReply.UNANSWERED, is_renewal=True)
         if reply is not ControlReply.DONE:
             return reply
         with trio.move_on_after(renewal.wait_s):
-            while not self._unacknowledged_ends:
-                await trio.sleep(_POLL_INTERVAL_S)
+            await self._wait_for_end()
         if self.is_unresponsive:
             await trio.sleep(_REPLY_TIMEOUT_S)
             return ControlReply.UNANSWERED
@@ -192,6 +199,10 @@
         ends = list(self._unacknowledged_ends)
         return RunReport(self.clock_ms(), progress, ends, True, self.born_ms)
 
+    async def _wait_for_end(self) -> None:
+        while not self._unacknowledged_ends:
+            await trio.sleep(POLL_INTERVAL_S)
+
     def _granted_lease_end_ms(
         self, lease_end_ms: int, sent_ms: int, is_late: bool
     ) -> int:
@@ -203,19 +214,21 @@
         self,
         request: Callable[[bool], Any],
         timeout_reply: Any,
-        reply_delay_s: float = 0.001,
+        is_renewal: bool = False,
     ) -> Any:
         """Executes a request at once, late or never.
 
         Args:
             request: Executes the request; its argument is whether it is late.
             timeout_reply: Returned if the request gets no reply.
-            reply_delay_s: Delay of a request that gets a reply.
+            is_renewal: Whether it renews the lease.
         """
-        execution_delay_s = self._draw_execution_delay_s()
+        execution_delay_s = self._draw_execution_delay_s(is_renewal)
         if execution_delay_s == 0.0:
-            await trio.sleep(reply_delay_s)
-            return request(False)
+            born_ms = self.born_ms
+            await trio.sleep(0.0 if is_renewal else _REPLY_DELAY_S)
+            # A request in transit is lost with the incarnation that it was sent to.
+            return request(False) if born_ms == self.born_ms else timeout_reply
         if execution_delay_s < math.inf:
             late_request = functools.partial(request, True)
             self._nursery.start_soon(
@@ -224,12 +237,14 @@
         await trio.sleep(_REPLY_TIMEOUT_S)
         return timeout_reply
 
-    def _draw_execution_delay_s(self) -> float:
+    def _draw_execution_delay_s(self, is_renewal: bool) -> float:
         """Returns 0 if the request gets a reply, infinity if it has no effect."""
         if self.is_unresponsive:
             return math.inf
         if self.execution_delay_s:
             return self.execution_delay_s
+        if is_renewal and not self.are_renewals_late:
+            return 0.0
         if self.late_share and self._rng.random() < self.late_share:
             return self._rng.uniform(*_LATE_REQUEST_DELAY_S)
         return 0.0
--- a/gooseberrylink/standins/network.py
+++ b/gooseberrylink/standins/network.py
@@ -91,9 +91,12 @@
             raise LinkClosedError(f"worker {worker} can't reach an entry at {address}")
         agent_end, entry_end = open_memory_link()
         self.connections.append(Connection(worker, address, agent_end, entry_end))
-        self._nursery.start_soon(entry.serve_link, entry_end)
+        self._serve(entry, entry_end)
         return agent_end
 
+    def _serve(self, entry: Entry, link: MemoryLink) -> None:
+        self._nursery.start_soon(entry.serve_link, link)
+
 
 @dataclasses.dataclass(slots=True)
 class MemoryDialer:
