Show that an entry that was cut off reruns tasks whose caller has left

What callers see: two runs of a task at the same time. An entry is cut off from its agents and callers. A caller leaves and sends its job again at another entry 1.3 s later. The links of the first entry open again before the disconnect arrives, for example because the caller's host repeats it ever more rarely. The agents report that they stopped the tasks when the lease ended, and the entry reruns them for a caller that is gone.

This was suspected without a run in the postmortem ("a caller's connection that falls silent while its job is sent again").

SuspensionMonitor does not help, because the entry was not suspended.

--- a/tests/test_overlapping_runs.py
+++ b/tests/test_overlapping_runs.py
@@ -13,7 +13,10 @@
 import trio
 import trio.testing
 import yaml
+from test_reruns import make_job as make_leased_job
+from test_reruns import run_deployment_with_leases
 from test_startup import PLATFORM_SETTINGS
+from test_withdrawn_jobs import Caller
 
 from gooseberrylink.backends.runs import EndKind
 from gooseberrylink.bench.runner import seeded_scheduler
@@ -43,6 +46,8 @@
     TaskSpec,
 )
 
+__all__ = ["run_deployment_with_leases"]
+
 SEEDS = range(10)
 SERVICE = "dispatch"
 ENTRIES = [f"entry-{number}" for number in range(3)]
@@ -54,6 +59,8 @@
 # Time after which a caller sends a job again whose connection broke.
 RESUBMIT_AFTER_S = 1.3
 MAX_SUBMISSIONS = 4
+# How long after the links of an entry the disconnect of a caller arrives.
+LATE_DISCONNECT_S = 1.0
 HEARTBEAT_INTERVAL_S = 1.5
 # How long after the load leases run; and with late requests, until none is left.
 SETTLING_S = 4.0
@@ -536,3 +543,30 @@
     assert any(run.end_kind is EndKind.LAPSED for run in runs)
     assert any(run.started_s > 7.0 for run in runs)
     assert violations == Violations([], [])
+
+
+def test_entry_that_was_cut_off_reruns_no_task_whose_caller_left_meanwhile(
+    run_deployment_with_leases,
+):
+    # The links are open again before the disconnect arrives, which was sent while the
+    # entry could not be reached.
+    async def test(deployment, workers):
+        first, second = deployment.entries
+        job = make_leased_job("a", *[4.0] * 6)
+        caller = Caller(first)
+        deployment.start_soon(lambda: caller.submit(job))
+        await trio.sleep(0.3)
+        for worker in workers:
+            deployment.network.partition(worker.name, first.address_for_agents)
+        await trio.sleep(RESUBMIT_AFTER_S)
+        deployment.start_soon(lambda: Caller(second).submit(job))
+        await trio.sleep(0.2)
+        for worker in workers:
+            deployment.network.heal(worker.name)
+        await trio.sleep(LATE_DISCONNECT_S)
+        caller.disconnect()
+        await trio.sleep(1.0)
+        assert sum(len(worker.runs) for worker in workers) >= 12
+        assert find_tasks_with_overlapping_runs(workers) == []
+
+    run_deployment_with_leases(test)
