Fail the jobs of an entry that was cut off, as their callers may have left

What callers saw: two runs of a task at the same time. An entry was cut off from its agents and callers for 1.5 s. A caller left and sent its job again at another entry 1.3 s later. The links of the first entry opened again before the disconnect arrived, as a host repeats what was lost ever more rarely. The agents reported that they had stopped the tasks when the lease ended, and the entry reran them for a caller that was gone.

Cause: a job is the permission to start its tasks, and it holds for as long as the caller waits. An entry that can't be reached doesn't learn that the caller has left. After a suspension it settles first; after a cut it did not notice that it had been away at all. The class of fault: a permission that is used after a time in which it could not be withdrawn.

Why it works: an entry whose links to all agents are silent for a lease, or were closed because they were, is isolated. It assigns nothing until the first sign of an agent, and then fails each job that may run again and is older than a lease: 118 with Retry-After if no task was assigned, else 301. All of their runs have ended with the leases, and a caller that still waits can send the job again at once. An agent that closes its link gives a sign as well, so the death of all agents is no isolation.

Ruled out: to settle for a time, as there is no bound on when the disconnect arrives; and to probe the callers' connections, as HTTP has no such request.

--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -9,6 +9,7 @@
 from gooseberrylink.admission import Admission
 from gooseberrylink.codes import CANCELLED_CODES, EXPIRED_CODES, Code
 from gooseberrylink.crash_history import MAX_LOST_RUNS_AT_ENTRY, CrashHistory
+from gooseberrylink.isolation import IsolationMonitor
 from gooseberrylink.logs import log_event
 from gooseberrylink.metrics import Metrics
 from gooseberrylink.operators.configuration import Configuration
@@ -91,6 +92,8 @@
         # An entry that was suspended for longer than its leases may have jobs that
         # their callers have submitted to other entries.
         self._suspension = SuspensionMonitor(settings.lease_s)
+        # So may an entry that was cut off from all agents for that time.
+        self._isolation = IsolationMonitor(settings.lease_s)
         self._nursery: trio.Nursery | None = None
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -101,7 +104,9 @@
             self._admission.startup_grace_ends_s = trio.current_time() + agents_back_s
             task_status.started()
             while True:
-                await self._suspension.wait_for_tick()
+                tick_s = await self._suspension.wait_for_tick()
+                if self._is_any_agent_connected():
+                    self._isolation.count_silence(tick_s)
                 self._reclaim_tasks_with_expired_leases()
                 self._check_queues()
 
@@ -376,6 +381,51 @@
             if peer is not reporter or len(to_share) > 1:
                 peer.share_lost_runs(to_share)
 
+    def handle_sign_of_agent(self) -> None:
+        """Handles that the entry can be reached; fails stale jobs if it could not."""
+        if self._isolation.record_sign():
+            self._fail_jobs_of_isolation()
+
+    def handle_link_closed(self, has_timed_out: bool) -> None:
+        """Handles that a link to an agent was closed.
+
+        Args:
+            has_timed_out: Whether this entry closed it because the agent was silent.
+        """
+        if not has_timed_out:
+            self.handle_sign_of_agent()
+        elif not self._is_any_agent_connected():
+            self._isolation.record_isolation()
+
+    def _is_any_agent_connected(self) -> bool:
+        return any(peer.is_connected for pool in self.pools() for peer in pool.peers)
+
+    def _fail_jobs_of_isolation(self) -> None:
+        """Fails the jobs that may have been submitted to another entry meanwhile.
+
+        Their callers may have disconnected while this entry could not be reached, and
+        the disconnects may arrive much later than the first frames of agents. All of
+        their runs have ended with the leases.
+        """
+        stale_before_s = trio.current_time() - self.settings.lease_s
+        stale = [
+            job
+            for job in self.jobs.values()
+            if job.request.rerun_policy is not None and job.submitted_s < stale_before_s
+        ]
+        log_event("entry_reachable", "WARNING", failed_jobs=len(stale))
+        for job in stale:
+            is_unassigned = job.is_unassigned()
+            self._withdraw_tasks(job)
+            self._metrics.add("jobs_given_up_after_isolation")
+            detail = "the entry was cut off from all agents"
+            if is_unassigned:
+                self._fail(
+                    job, Answer(Code.NO_BACKEND_SERVER, detail, retry_after_s=0.0)
+                )
+            else:
+                self._fail(job, Answer(Code.AGENT_LOST, detail))
+
     def handle_agent_disconnected(self, peer: AgentPeer) -> None:
         """Records when the leases of a disconnected agent's tasks will expire.
 
@@ -502,8 +552,11 @@
     # Assignment.
 
     def is_settling(self) -> bool:
-        """Returns whether nothing may be assigned, as this entry has just resumed."""
-        return self._suspension.is_settling()
+        """Returns whether nothing may be assigned, as callers may have disconnected.
+
+        The entry has just resumed, or is cut off.
+        """
+        return self._isolation.is_isolated or self._suspension.is_settling()
 
     def assign_queued_tasks(self, service: str) -> None:
         """Assigns queued tasks of a service as long as workers have free slots."""
--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -259,8 +259,10 @@
         finally:
             if self._session is session:
                 self._end_session()
+            self._entry.dispatcher.handle_link_closed(session.has_timed_out)
 
     def _start_session(self, session: Session, hello: AgentHello) -> None:
+        self._entry.dispatcher.handle_sign_of_agent()
         session.link.send(encode(self._entry.make_hello()))
         is_same_incarnation = hello.incarnation == self.incarnation
         if not is_same_incarnation:
@@ -354,6 +356,7 @@
         return frame.config_version
 
     def _handle_frame(self, frame: AgentFrame) -> None:
+        self._entry.dispatcher.handle_sign_of_agent()
         self._record_agent_clock(frame.clock_s)
         self._free_units = frame.free_units
         self._free_long_units = frame.free_long_units
--- a/gooseberrylink/peers/heartbeat.py
+++ b/gooseberrylink/peers/heartbeat.py
@@ -14,6 +14,9 @@
     every idle_heartbeat_s; any frame counts as a heartbeat. Both directions count
     ticks instead of comparing times, because a process that resumes after a freeze
     must read the frames that are waiting before it decides that its peer is silent.
+
+    Attributes:
+        has_timed_out: Whether it closed the link because the peer was silent.
     """
 
     def __init__(self, settings: PeerSettings, outbox: Outbox, is_busy):
@@ -25,6 +28,7 @@
         self._outbox = outbox
         self._is_busy = is_busy
         self._has_received = False
+        self.has_timed_out = False
 
     def record_frame(self) -> None:
         """Records that a frame arrived."""
@@ -55,4 +59,5 @@
                 misses = 0.0
             else:
                 misses += 1.0 if self._is_busy() else self._idle_intervals_per_tick
+        self.has_timed_out = True
         link.close()
--- a/gooseberrylink/peers/session.py
+++ b/gooseberrylink/peers/session.py
@@ -66,6 +66,11 @@
         self._config_push = ConfigPush(configuration, self.outbox, rng)
         self._heartbeat = Heartbeat(settings, self.outbox, owner.is_busy)
 
+    @property
+    def has_timed_out(self) -> bool:
+        """Whether the link was closed because the peer was silent."""
+        return self._heartbeat.has_timed_out
+
     def record_peer_config_version(self, version: int) -> None:
         """Records which configuration version the peer has."""
         self._config_push.peer_version = version
