Request no start under a lease that has ended

What callers could see: a worker over its capacity, and two runs of a task at the same time.

Cause: an agent that was frozen, and whose entries' leases had ended meanwhile, requested starts with the end of a lease in the past. A worker refuses such a start. But one that had just restarted counts its clock anew, so that for it the end lay in the future, and it granted a lease. The agent had recorded one that was over, so it counted the run as ended and its units as free. Renewals were checked for this, starts were not. The class of fault: a permission that ended before its use.

Evidence: test_start_after_the_end_of_its_lease_does_not_run_at_a_restarted_backend_server failed with

AssertionError: assert <Status.DONE: 1> is <Status.NOT_STARTED: 3>

Why it works: nothing is requested without a lease to give. Open: a start with a short lease, at a worker that restarted unnoticed and falls silent at once, may run for up to the longest lease, longer than recorded.

--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -341,6 +341,10 @@
         """
         for _ in range(_MAX_START_REQUESTS):
             lease_s = self._next_lease_s()
+            if lease_s <= 0:
+                # A backend server that has restarted, and whose clock is behind, would
+                # still grant it.
+                return StartReply.LATE
             self._record_lease_end(lease_s)
             fencing_token = self._fencing_token.value
             reply = await self._client.start(
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -1,5 +1,7 @@
 """Runs under a lease: late requests, silence, earlier incarnations, stalls."""
 
+import math
+
 import pytest
 import trio
 
@@ -596,3 +598,46 @@
         assert backend_server.runs == []
 
     run_leased(test)
+
+
+class BackendWithNewClock(FakeLeasedBackend):
+    """Counts its clock from its last restart, as the platform's backend servers do."""
+
+    restarted_s = 0.0
+
+    def crash(self):
+        super().crash()
+        self.restarted_s = trio.current_time()
+
+    def clock_ms(self):
+        return round(1000 * (trio.current_time() - self.restarted_s))
+
+
+def test_start_after_the_end_of_its_lease_does_not_run_at_a_restarted_backend_server(
+    run_on_mock_clock,
+):
+    # The end of the lease has passed on the clock of the earlier incarnation only.
+    async def main():
+        async with trio.open_nursery() as nursery:
+            backend_server = BackendWithNewClock("tank-1", nursery)
+            lease_limit_s = math.inf
+            client = LeasedBackendClient(
+                backend_server,
+                5,
+                LeaseSettings(),
+                Metrics("agent", "tank-1"),
+                lambda: None,
+                lambda: lease_limit_s,
+            )
+            nursery.start_soon(backend_server.advance_runs)
+            nursery.start_soon(client.run_background)
+            await wait_until_open(client)
+            await trio.sleep(2.0)
+            lease_limit_s = trio.current_time() - 0.1
+            backend_server.crash()
+            outcome = await run_task(client)
+            assert outcome.status is Status.NOT_STARTED
+            assert backend_server.runs == []
+            nursery.cancel_scope.cancel()
+
+    run_on_mock_clock(main)
