Check queued tasks again when a loss of theirs is reported

A task under which workers had crashed was started once more, and its caller waited for a free slot, if the proof of the crashes came while the task waited in the queue or backed off after a refusal. A sound task that became a suspect in the queue was lost beside another suspect, and its job answered with code 204.

Cause: the losses of a task were looked at only when its job was admitted and when the task was rerun. The class of fault: a decision that is not made again when what it rests on changes.

Evidence: the new tests, on (a task queued behind full workers: no answer; a task that backs off; losses first and their proof later; five sound suspects beside a deadly one):

AssertionError: assert {} == {'a': <Code.W...CRASHED: 204>} AssertionError: assert ['a.0'] == [] AssertionError: assert ['a.0'] == [] AssertionError: assert {<Code.WORKERS_CRASHED: 204>} == {<Code.OK: 0>}

Why it works: each loss that is new to an entry queues the waiting tasks of that name anew, and every way into the queue checks the losses: a suspect goes to the suspects' heap, a task that may have to be given up waits for the proof, and one that is proven fails its job. The queue finds a task by its name in constant time, so nothing is done for each queued task. Weighed and left out: a check when a task is assigned, after which callers would still wait for a free slot.

--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -144,16 +144,12 @@
         """Runs an admitted job; returns all its results, or one code."""
         pool = self.pool(job.request.service)
         for task in job.tasks:
-            task.is_crash_suspect = self.crash_history.is_suspect(task.spec.name)
             if self.crash_history.is_to_be_given_up(task.spec.name):
                 return self._crash_answer(task)
-            if self.crash_history.may_be_given_up_soon(task.spec.name):
-                self._requeue_unless_given_up(task)
         # A job completes with its last task, so the longest tasks are placed first
         # and get the fastest slots.
         for task in sorted(job.tasks, key=lambda task: -task.expected_s):
-            if task.state is TaskState.QUEUED:
-                pool.queue.push(task)
+            self._push_or_await_crash_reports(task)
         self.assign_queued_tasks(pool.service)
         self._assign_new_job(pool, job)
         try:
@@ -347,6 +343,7 @@
         """
         if not self.crash_history.record(lost_run, trio.current_time()):
             return
+        self._reconsider_queued_tasks(lost_run.task_name)
         to_share = self.crash_history.to_share(lost_run)
         if not to_share:
             return
@@ -354,6 +351,13 @@
             if peer is not reporter or len(to_share) > 1:
                 peer.share_lost_runs(to_share)
 
+    def _reconsider_queued_tasks(self, task_name: str) -> None:
+        """Queues a waiting task anew after a loss, as a suspect or after a wait."""
+        for pool in self._pools.values():
+            for task in pool.queue.find(task_name):
+                pool.queue.drop(task)
+                self._push_or_await_crash_reports(task)
+
     def handle_agent_disconnected(self, peer: AgentPeer) -> None:
         """Records when the leases of a disconnected agent's tasks will expire.
 
@@ -391,7 +395,6 @@
         if self.crash_history.is_to_be_given_up(task.spec.name):
             self._fail(job, self._crash_answer(task))
             return True
-        task.is_crash_suspect = self.crash_history.is_suspect(task.spec.name)
         job.has_rerun_tasks = True
         task.avoided_workers.add(task.worker)
         self._metrics.add("reruns", reason)
@@ -405,8 +408,6 @@
         )
         if job.job_id not in self.jobs:
             self._notify(job)
-        elif self.crash_history.may_be_given_up_soon(task.spec.name):
-            self._requeue_unless_given_up(task)
         else:
             self._requeue(task)
         return True
@@ -636,30 +637,39 @@
         self._fail(job, Answer(Code.EXPIRED_NOT_RUN, detail, retry_after_s=1.0))
 
     def _requeue(self, task: Task) -> None:
-        pool = self.pool(task.job.request.service)
-        task.state = TaskState.QUEUED
-        pool.queue.push(task)
-        self.assign_queued_tasks(pool.service)
+        self._push_or_await_crash_reports(task)
+        self.assign_queued_tasks(task.job.request.service)
 
-    def _requeue_unless_given_up(self, task: Task) -> None:
-        """Queues a task again unless its losses prove to be crashes meanwhile.
+    def _push_or_await_crash_reports(self, task: Task) -> None:
+        """Queues a task, at once unless its losses may prove to be crashes.
 
         A backend server that crashed is back after some seconds, and only its next
         incarnation shows that it did not just fall silent.
         """
-        task.state = TaskState.BACKING_OFF
-        self._nursery.start_soon(self._await_crash_reports, task)
+        if self.crash_history.may_be_given_up_soon(task.spec.name):
+            task.state = TaskState.BACKING_OFF
+            self._nursery.start_soon(self._await_crash_reports, task)
+        else:
+            self._push(task)
+
+    def _push(self, task: Task) -> None:
+        task.is_crash_suspect = self.crash_history.is_suspect(task.spec.name)
+        task.state = TaskState.QUEUED
+        self.pool(task.job.request.service).queue.push(task)
 
     async def _await_crash_reports(self, task: Task) -> None:
+        """Queues a task after a wait, or fails its job once it is to be given up."""
         job = task.job
-        with trio.move_on_after(_CRASH_REPORT_WAIT_S):
-            while job.job_id in self.jobs:
-                if self.crash_history.is_to_be_given_up(task.spec.name):
-                    self._fail(job, self._crash_answer(task))
-                    return
-                await trio.sleep(_RETRY_BACKOFF_S)
-        if job.job_id in self.jobs:
-            self._requeue(task)
+        wait_ends_s = trio.current_time() + _CRASH_REPORT_WAIT_S
+        while job.job_id in self.jobs:
+            if self.crash_history.is_to_be_given_up(task.spec.name):
+                self._fail(job, self._crash_answer(task))
+                return
+            if trio.current_time() >= wait_ends_s:
+                self._push(task)
+                self.assign_queued_tasks(job.request.service)
+                return
+            await trio.sleep(_RETRY_BACKOFF_S)
 
     async def _requeue_later(self, task: Task) -> None:
         await trio.sleep(_RETRY_BACKOFF_S)
--- a/gooseberrylink/task_queue.py
+++ b/gooseberrylink/task_queue.py
@@ -33,6 +33,7 @@
         self._sequence = itertools.count()
         # Number of the valid entry of each waiting task.
         self._valid_numbers: dict[Task, int] = {}
+        self._tasks_by_name: dict[str, list[Task]] = {}
         self.short_count = 0
         self.long_count = 0
         self.work_s = 0.0
@@ -48,6 +49,8 @@
             heap = self._suspects
         number = next(self._sequence)
         self._valid_numbers[task] = number
+        if task.spec.name:
+            self._tasks_by_name.setdefault(task.spec.name, []).append(task)
         heapq.heappush(heap, (task.sort_key, number, task))
         if task.is_long:
             self.long_count += 1
@@ -68,6 +71,10 @@
         """Returns the first suspects, short or long, up to count."""
         return self._first_many(self._suspects, count)
 
+    def find(self, task_name: str) -> list[Task]:
+        """Returns the waiting tasks that have a name, which must not be empty."""
+        return list(self._tasks_by_name.get(task_name, ()))
+
     def _first(self, heap: list[_Node]) -> Task | None:
         while heap and not self._is_valid(heap[0]):
             heapq.heappop(heap)
@@ -120,6 +127,11 @@
 
     def _subtract_from_totals(self, task: Task) -> None:
         del self._valid_numbers[task]
+        if task.spec.name:
+            tasks = self._tasks_by_name[task.spec.name]
+            tasks.remove(task)
+            if not tasks:
+                del self._tasks_by_name[task.spec.name]
         if task.is_long:
             self.long_count -= 1
         else:
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -16,7 +16,7 @@
     FakeLeasedBackend,
     find_tasks_with_overlapping_runs,
 )
-from gooseberrylink.types import JobRequest, RerunPolicy, TaskSpec
+from gooseberrylink.types import JobRequest, RerunPolicy, TaskSpec, TaskState
 
 ENTRY_SETTINGS = {
     "rerun_after_silence_s": 2.4,
@@ -742,3 +742,106 @@
         assert not any(worker.runs for worker in workers)
 
     run_deployment_with_leases(test, entries=2, max_entries=2)
+
+
+@pytest.fixture
+def run_with_busy_workers(run_deployment_with_leases):
+    """Returns a function that runs a test while other tasks use all workers for 2 s."""
+
+    def run(test):
+        async def main(deployment, fakes):
+            (entry,) = deployment.entries
+            job = make_job("beside", *[2.0] * 8 * len(fakes))
+            deployment.start_soon(
+                functools.partial(submit_and_discard_answer, entry, job)
+            )
+            await trio.sleep(0.3)
+            await test(deployment, entry, fakes)
+
+        run_deployment_with_leases(main)
+
+    return run
+
+
+def test_task_whose_crashes_are_proven_while_it_is_queued_is_not_started(
+    run_with_busy_workers,
+):
+    async def test(deployment, entry, workers):
+        codes = {}
+        job = make_crashing_job("a", 0.1)
+        deployment.start_soon(lambda: submit_and_record_code(entry, job, codes))
+        await trio.sleep(0.2)
+        assert len(entry.dispatcher.pool("dispatch").queue) == 1
+        lost_runs = [LostRun("a.0", f"other/{n}", True, True) for n in range(2)]
+        report_lost_runs(deployment, entry, lost_runs)
+        await trio.sleep(0.5)
+        assert codes == {"a": Code.WORKERS_CRASHED}
+        await trio.sleep(3.0)
+        assert find_crashes(workers) == []
+
+    run_with_busy_workers(test)
+
+
+def test_task_whose_crashes_are_proven_while_it_backs_off_is_not_started(
+    run_deployment_with_leases,
+):
+    async def test(deployment, workers):
+        (entry,) = deployment.entries
+        codes = {}
+        job = make_crashing_job("a", 0.1)
+        for agent in deployment.agents.values():
+            agent._refusal_reason = lambda assign, now_s: "draining"
+        while entry.dispatcher._retry_budget.try_withdraw():
+            pass
+        deployment.start_soon(lambda: submit_and_record_code(entry, job, codes))
+        await trio.sleep(0.03)
+        (task,) = next(iter(entry.dispatcher.jobs.values())).tasks
+        assert task.state is TaskState.BACKING_OFF
+        for agent in deployment.agents.values():
+            del agent._refusal_reason
+        lost_runs = [LostRun("a.0", f"other/{n}", True, True) for n in range(2)]
+        report_lost_runs(deployment, entry, lost_runs)
+        await trio.sleep(1.0)
+        assert find_crashes(workers) == []
+        assert codes == {"a": Code.WORKERS_CRASHED}
+
+    run_deployment_with_leases(test)
+
+
+def test_task_whose_losses_are_reported_while_it_is_queued_waits_for_their_proof(
+    run_with_busy_workers,
+):
+    async def test(deployment, entry, workers):
+        codes = {}
+        job = make_crashing_job("a", 0.1)
+        deployment.start_soon(lambda: submit_and_record_code(entry, job, codes))
+        for is_crash in (False, True):
+            await trio.sleep(1.0 + is_crash)
+            lost_runs = [LostRun("a.0", f"other/{n}", True, is_crash) for n in range(2)]
+            report_lost_runs(deployment, entry, lost_runs)
+        await trio.sleep(0.5)
+        assert find_crashes(workers) == []
+        assert codes == {"a": Code.WORKERS_CRASHED}
+
+    run_with_busy_workers(test)
+
+
+def test_sound_task_that_becomes_a_suspect_while_it_is_queued_is_tried_alone(
+    run_with_busy_workers,
+):
+    async def test(deployment, entry, workers):
+        codes = {}
+        jobs = [make_job(f"b{number}", 0.3) for number in range(5)]
+        for job in [make_crashing_job("a", 0.1), *jobs]:
+            deployment.start_soon(
+                functools.partial(submit_and_record_code, entry, job, codes)
+            )
+        await trio.sleep(0.2)
+        names = ["a.0"] + [f"b{number}.0" for number in range(5)]
+        report_lost_runs(deployment, entry, [LostRun(n, n, True, True) for n in names])
+        await trio.sleep(9.0)
+        assert find_crashes(workers) == ["a.0"]
+        assert codes.pop("a") is Code.WORKERS_CRASHED
+        assert set(codes.values()) == {Code.OK}
+
+    run_with_busy_workers(test)
