Repeat news of lost runs on new links

A task that one entry knew to be given up was started by other entries, if the links of that entry broke as it passed the losses on: its job, sent to each of five entries, crashed two workers.

Cause: the entry sent such news once, to agents that were connected then, and dropped what was unsent when a link was replaced. Agents already repeat all their losses on a new link. The class of fault: state sent as an event over a link that may break.

Evidence: test_losses_reach_all_entries_although_links_are_reset, with the news unsent and with it lost in transit, failed on the commit before in both cases with

AssertionError: assert ['a.0', 'a.0'] == []

Why it works: on each new link an entry repeats what was new to it in the last 10 s and concerns all entries. docs/DESIGN.md says why runs can't go round for ever; that argument is by reading. test_losses_stop_going_round_although_links_are_reset failed before, too, with code 204 after 150 s: by reading, an entry forgot old losses only when it recorded another one. It now forgets them on each new link as well; an entry without either still doesn't.

test_worker_crashes, test_docs, test_reruns, test_withdrawn_jobs, test_faults and test_tcp_link passed.

--- a/gooseberrylink/crash_history.py
+++ b/gooseberrylink/crash_history.py
@@ -28,6 +28,10 @@
 # Longer than the time in which callers submit a job again.
 _RETENTION_S = 120.0
 _MAX_LOST_RUNS = 1000
+# Time for which news is repeated on new links. It covers the detection of a broken link
+# and the next attempts to connect. Far below the retention, so that no process gets
+# repeated runs that it has forgotten.
+_NEWS_S = 10.0
 # Lost runs that wait for one link at most. If there are more, the oldest are left out.
 MAX_LOST_RUNS_A_FRAME = 1000
 # A rack of a large site can lose a thousand runs at once.
@@ -48,6 +52,10 @@
         self._max_lost_runs = max_lost_runs
         self._recorded: collections.deque[tuple[float, LostRun]] = collections.deque()
         self._lost_runs: dict[str, dict[str, LostRun]] = {}
+        # Times at which something new was learned of a task, oldest first.
+        self._news: collections.deque[tuple[float, str]] = collections.deque(
+            maxlen=max_lost_runs
+        )
 
     def record(self, lost_run: LostRun, now_s: float) -> bool:
         """Adds a run whose task has a name, or adds to what is known of it.
@@ -66,6 +74,7 @@
         if known is None:
             self._recorded.append((now_s, lost_run))
             of_task[lost_run.assignment_id] = lost_run
+            self._news.append((now_s, lost_run.task_name))
             return True
         of_task[lost_run.assignment_id] = LostRun(
             lost_run.task_name,
@@ -74,7 +83,10 @@
             known.is_crash or lost_run.is_crash,
             known.is_start_unanswered or lost_run.is_start_unanswered,
         )
-        return of_task[lost_run.assignment_id] != known
+        if of_task[lost_run.assignment_id] == known:
+            return False
+        self._news.append((now_s, lost_run.task_name))
+        return True
 
     def recent(self, now_s: float) -> list[LostRun]:
         """Returns all runs that are kept, oldest first."""
@@ -90,16 +102,32 @@
         A task concerns all entries once it is a suspect or was lost twice. The many
         single losses of a rack that crashed are left to the agents' own reports.
         """
-        # A full history forgets runs, which would be new to it again and never stop
-        # going round.
-        is_full = len(self._recorded) >= self._max_lost_runs
-        if is_full or not self._concerns_all_entries(lost_run.task_name):
+        if self._is_full() or not self._concerns_all_entries(lost_run.task_name):
             return []
         of_task = self._lost_runs[lost_run.task_name]
         if len(of_task) == _MIN_SHARED_LOSSES:
             return list(of_task.values())
         return [of_task[lost_run.assignment_id]]
 
+    def to_repeat(self, now_s: float) -> list[LostRun]:
+        """Returns the runs that other entries are to know, for a new link.
+
+        What was shared within the last seconds may have been lost with the old link.
+        """
+        self._forget_old(now_s)
+        if self._is_full():
+            return []
+        while self._news and self._news[0][0] < now_s - _NEWS_S:
+            self._news.popleft()
+        # In the order of the news, without repetitions.
+        task_names = dict.fromkeys(task_name for _, task_name in self._news)
+        return [
+            lost_run
+            for task_name in task_names
+            if self._concerns_all_entries(task_name)
+            for lost_run in self._lost_runs[task_name].values()
+        ]
+
     def count_losses(self, task_name: str) -> int:
         """Returns how many runs of a task were lost."""
         return len(self._lost_runs.get(task_name, ()))
@@ -117,6 +145,13 @@
         """Returns whether its losses would give a task up if they were crashes."""
         return _are_too_many(self._losses_of(task_name))
 
+    def _is_full(self) -> bool:
+        """Returns whether it forgets runs before their time.
+
+        These would be new to it again, and never stop going round.
+        """
+        return len(self._recorded) >= self._max_lost_runs
+
     def _concerns_all_entries(self, task_name: str) -> bool:
         losses = self.count_losses(task_name)
         return losses >= _MIN_SHARED_LOSSES or self.is_suspect(task_name)
--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -282,7 +282,7 @@
         self.config_version = hello.config_version
         session.record_peer_config_version(hello.config_version)
         self.advertised_demand = 0
-        self._unsent_lost_runs.clear()
+        self._repeat_lost_runs()
         log_event(
             "agent_connected",
             worker=self.worker,
@@ -292,6 +292,14 @@
             self._repeat_revocations()
         self._entry.handle_agent_connected(self, hello)
 
+    def _repeat_lost_runs(self) -> None:
+        """Sends the lost runs again that may not have reached the agent's entries."""
+        crash_history = self._entry.dispatcher.crash_history
+        self._unsent_lost_runs.clear()
+        self._unsent_lost_runs.extend(crash_history.to_repeat(trio.current_time()))
+        if self._unsent_lost_runs:
+            self.outbox.wake_sender()
+
     def _repeat_revocations(self) -> None:
         """Revokes all tasks in flight, and stops those of withdrawn jobs.
 
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import functools
+import random
 
 import pytest
 import trio
@@ -845,3 +846,56 @@
         assert set(codes.values()) == {Code.OK}
 
     run_with_busy_workers(test)
+
+
+@pytest.mark.parametrize("is_sent", [False, True])
+def test_losses_reach_all_entries_although_links_are_reset(
+    run_deployment_with_leases, is_sent
+):
+    # The entry that learns of the crashes loses all its links at once, before the
+    # frames with this news are sent or while they are in transit.
+    async def test(deployment, workers):
+        informed = deployment.entries[0]
+        connections = deployment.network.find_open_connections(
+            address=informed.address_for_agents
+        )
+        for connection in connections:
+            connection.entry_end.is_partitioned = is_sent
+        for number in range(2):
+            informed.dispatcher.record_lost_run(
+                LostRun("a.0", f"other/{number}", True, True)
+            )
+        if is_sent:
+            await trio.sleep(0.2)
+        for connection in connections:
+            connection.entry_end.close()
+            connection.agent_end.close()
+        await trio.sleep(3.0)
+        for entry in deployment.entries:
+            answer = await entry.submit(make_crashing_job("a", 0.1))
+            assert answer.code is Code.WORKERS_CRASHED
+        assert find_crashes(workers) == []
+
+    run_deployment_with_leases(test, entries=5, workers=10, max_entries=2)
+
+
+def test_losses_stop_going_round_although_links_are_reset(run_deployment_with_leases):
+    async def test(deployment, workers):
+        reset_random = random.Random(0)
+        for number in range(2):
+            deployment.entries[0].dispatcher.record_lost_run(
+                LostRun("a.0", f"other/{number}", True, True)
+            )
+        ends_s = trio.current_time() + 150.0
+        while trio.current_time() < ends_s:
+            await trio.sleep(0.7)
+            for connection in reset_random.sample(
+                deployment.network.find_open_connections(), 3
+            ):
+                connection.entry_end.close()
+        # Longer than the losses are kept, plus the time in which they spread.
+        for entry in deployment.entries:
+            answer = await entry.submit(make_job("a", 0.1))
+            assert answer.code is Code.OK
+
+    run_deployment_with_leases(test, entries=4, workers=6, max_entries=2)
