Obey a worker that restarts after its clock was set back

Cause: a worker that restarts under its id after its clock was set back has a lower start time than its earlier incarnation, and incarnations were ordered by start time alone. All its later heartbeats were taken for late ones of an older incarnation. The class of fault: an order of events taken from a wall clock.

Evidence: of the new tests in test_incarnations.py, three failed before,

AssertionError: assert [] == [4] AssertionError: assert 1000000 == 995001 AssertionError: assert 1000001 == 995002

as no heartbeat of the new incarnation was applied. The fourth guards what worked before: a late heartbeat that arrives between a restart and the first reply after it.

Why it works: the start time in the reply to a request that was sent after an incarnation had announced itself proves which one came later. A heartbeat with that start time is of the present incarnation, whatever its clock says. As the clocks no longer order them, the tracker keeps the last incarnations that were superseded, so that a late heartbeat of one of them, which may have the higher start time, is ignored. A late one of an incarnation that was never heard of before may still be taken for a newer one; the next heartbeat corrects that.

Ruled out: comparing with any reply, as one from before the restart has the start time of the earlier incarnation, so that its late heartbeat would be taken for the present one.

The fakes in test_platform.py and test_capacity.py that replace a client got the attribute that the tracker reads; their tests are unchanged.

--- a/gooseberrylink/backends/incarnations.py
+++ b/gooseberrylink/backends/incarnations.py
@@ -1,5 +1,6 @@
 """Tracks the incarnations of an agent's backend server."""
 
+import collections
 import dataclasses
 from collections.abc import Callable
 from typing import Protocol
@@ -9,6 +10,8 @@
 from gooseberrylink.backends.leased import LeasedBackendClient
 from gooseberrylink.logs import log_event
 
+_MAX_EARLIER_INCARNATIONS = 16
+
 
 class AnnouncementReceiver(Protocol):
     """Receives the heartbeats of backend servers."""
@@ -47,7 +50,11 @@
 
 
 class IncarnationTracker:
-    """Attaches the newest incarnation to the agent; see AnnouncementReceiver."""
+    """Attaches the newest incarnation to the agent; see AnnouncementReceiver.
+
+    A backend server that restarts after its clock was set back has a lower start time
+    than before. The start time in its replies shows that it is the newest incarnation.
+    """
 
     def __init__(
         self,
@@ -57,6 +64,9 @@
         self._agent = agent
         self._make_backend_client = make_backend_client
         self._current: _CurrentIncarnation | None = None
+        self._earlier: collections.deque[tuple[str, int]] = collections.deque(
+            maxlen=_MAX_EARLIER_INCARNATIONS
+        )
 
     @property
     def newest_announcement(self) -> Announcement | None:
@@ -73,17 +83,13 @@
     ) -> None:
         """See AnnouncementReceiver."""
         current = self._current
-        if current is None or self._is_newer(announcement, current.announcement):
+        if current is None or self._is_newer(announcement, current):
             if current is not None and _is_restart(announcement, current.announcement):
                 self._handle_restart(current, announcement, sequence, is_draining)
             elif not is_draining:
                 self._replace(announcement, sequence)
             return
-        known = current.announcement
-        if (known.incarnation, known.born_ms) != (
-            announcement.incarnation,
-            announcement.born_ms,
-        ):
+        if _identity(announcement) != _identity(current.announcement):
             self._agent.metrics.add("heartbeats_stale", "older_incarnation")
             return
         if sequence <= current.sequence:
@@ -100,12 +106,20 @@
         if current is not None and current.announcement.incarnation == incarnation:
             self._detach(current, "left")
 
-    def _is_newer(self, announcement: Announcement, known: Announcement) -> bool:
-        if announcement.born_ms != known.born_ms:
-            return announcement.born_ms > known.born_ms
+    def _is_newer(
+        self, announcement: Announcement, current: _CurrentIncarnation
+    ) -> bool:
+        known = current.announcement
+        if _identity(announcement) == _identity(known):
+            return False
+        if announcement.born_ms == current.backend.confirmed_born_ms:
+            # It replied after the known one had announced itself.
+            return True
+        if _identity(announcement) in self._earlier:
+            return False
         # Equal or unknown start times give no order; the last to announce itself is
         # taken as the newer one.
-        return announcement.incarnation != known.incarnation
+        return announcement.born_ms >= known.born_ms
 
     def _handle_restart(
         self,
@@ -140,7 +154,9 @@
         sequence: int,
         is_draining: bool,
     ) -> None:
+        self._record_earlier(current.announcement)
         current.announcement, current.sequence = announcement, sequence
+        current.backend.reconfirm_incarnation()
         log_event(
             "backend_reannounced",
             incarnation=announcement.incarnation,
@@ -182,6 +198,7 @@
     def _replace(self, announcement: Announcement, sequence: int) -> None:
         current = self._current
         if current is not None:
+            self._record_earlier(current.announcement)
             self._agent.detach_backend("replaced")
             if _has_ended(current.announcement, announcement):
                 current.backend.mark_lost("replaced")
@@ -197,6 +214,10 @@
         )
         self._agent.attach_backend(backend, announcement)
 
+    def _record_earlier(self, announcement: Announcement) -> None:
+        if announcement.born_ms:
+            self._earlier.append(_identity(announcement))
+
     def _detach(self, current: _CurrentIncarnation, reason: str) -> None:
         if not current.is_draining:
             current.is_draining = True
@@ -204,6 +225,10 @@
             self._agent.detach_backend(reason)
 
 
+def _identity(announcement: Announcement) -> tuple[str, int]:
+    return announcement.incarnation, announcement.born_ms
+
+
 def _is_restart(announcement: Announcement, known: Announcement) -> bool:
     """Returns whether two incarnations have the same id and address."""
     return (announcement.incarnation, announcement.address) == (
--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -212,6 +212,8 @@
         self._clock_read_s = 0.0
         self._is_responsive = False
         self._born_ms = 0
+        self._confirmed_born_ms: int | None = None
+        self._confirm_after_s = -math.inf
         self._last_reply_s = trio.current_time()
         self._last_sign_of_life_s = -math.inf
         self._lease_end_s = 0.0
@@ -251,6 +253,20 @@
         for run in list(self._runs.values()):
             self._finish(run, EndKind.LOST)
 
+    def reconfirm_incarnation(self) -> None:
+        """Lets only replies to requests from now on set confirmed_born_ms."""
+        self._confirmed_born_ms = None
+        self._confirm_after_s = trio.current_time()
+
+    @property
+    def confirmed_born_ms(self) -> int | None:
+        """Start time of the incarnation that last replied; None if unknown.
+
+        Only replies to requests after the last call of reconfirm_incarnation() count.
+        Requests for the lease follow one another, so replies can't overtake others.
+        """
+        return self._confirmed_born_ms
+
     @property
     def is_closed(self) -> bool:
         """Whether it starts no new runs for good."""
@@ -476,6 +492,8 @@
             report.clock_ms,
             self._last_reply_s,
         )
+        if report_requested_s > self._confirm_after_s:
+            self._confirmed_born_ms = report.born_ms or None
         if report.born_ms != self._born_ms:
             if self._born_ms:
                 self._handle_restart(report.born_ms)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -302,9 +302,15 @@
     return capacity.answers[label]
 
 
+class SilentBackendClient:
+    """Client of a backend server that has not replied."""
+
+    confirmed_born_ms = None
+
+
 def test_only_the_newest_heartbeat_changes_the_capacity():
     agent = FakeAgent()
-    tracker = incarnations.IncarnationTracker(agent, lambda _: object())
+    tracker = incarnations.IncarnationTracker(agent, lambda _: SilentBackendClient())
 
     def announce(incarnation: str, born_ms: int, sequence: int, units: int):
         announcement = make_announcement(
@@ -325,7 +331,7 @@
 def test_heartbeat_changes_nothing_but_the_capacity_of_an_incarnation():
     # The client sends its requests to the address of the first heartbeat.
     agent = FakeAgent()
-    tracker = incarnations.IncarnationTracker(agent, lambda _: object())
+    tracker = incarnations.IncarnationTracker(agent, lambda _: SilentBackendClient())
     first = make_announcement(FULL, incarnation="i-1", born_ms=100, rack="r-1")
     tracker.handle_announcement(first, 1, False)
     tracker.handle_announcement(
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -17,6 +17,7 @@
     def __init__(self, nursery: trio.Nursery):
         self.metrics = Metrics("agent", "tank-1")
         self.backends: list[LeasedBackendClient] = []
+        self.announcements: list[Announcement] = []
         self._nursery = nursery
 
     def attach_backend(self, backend, announcement):
@@ -27,7 +28,7 @@
         self.backends[-1].close()
 
     def update_announcement(self, announcement):
-        pass
+        self.announcements.append(announcement)
 
 
 @pytest.fixture
@@ -56,13 +57,33 @@
     return run
 
 
-def announce(tracker, server, sequence: int = 1, is_draining: bool = False) -> None:
+def announce(
+    tracker,
+    server,
+    sequence: int = 1,
+    is_draining: bool = False,
+    slots: int = 8,
+    born_ms: int | None = None,
+) -> None:
     announcement = Announcement(
-        "s", "w:1", 8, incarnation="i-1", born_ms=server.born_ms
+        "s", "w:1", slots, incarnation="i-1", born_ms=born_ms or server.born_ms
     )
     tracker.handle_announcement(announcement, sequence, is_draining)
 
 
+async def restart_with_clock_set_back(server) -> int:
+    """Restarts a backend server, and waits until its replies have shown it.
+
+    Returns:
+        Start time of the earlier incarnation.
+    """
+    earlier_born_ms = server.born_ms
+    server.crash()
+    server.born_ms -= 5000
+    await trio.sleep(0.5)
+    return earlier_born_ms
+
+
 async def wait_until_open(agent) -> None:
     with trio.fail_after(5):
         while not agent.backends[-1].is_open:
@@ -171,3 +192,83 @@
             nursery.cancel_scope.cancel()
 
     run_on_mock_clock(main)
+
+
+def test_backend_server_that_restarts_with_its_clock_set_back_is_obeyed(run_tracked):
+    # Its heartbeats were taken for late ones of an older incarnation: tasks were
+    # started while it drained, and beyond the capacity that it had announced.
+    async def test(server, agent, tracker, nursery):
+        await restart_with_clock_set_back(server)
+        outcomes = []
+
+        async def run():
+            outcomes.append(await run_task(agent, run_s=1.0))
+
+        nursery.start_soon(run)
+        await trio.sleep(0.1)
+        announce(tracker, server, 1, slots=4)
+        assert [announcement.slots for announcement in agent.announcements] == [4]
+        announce(tracker, server, 2, is_draining=True, slots=4)
+        assert tracker.is_draining
+        assert agent.backends[-1].is_closed
+        await trio.sleep(1.5)
+        assert [outcome.status for outcome in outcomes] == [Status.DONE]
+        assert [run.end_kind.value for run in server.runs] == ["done"]
+
+    run_tracked(test)
+
+
+def test_heartbeat_delayed_until_after_a_restart_with_the_clock_set_back_is_ignored(
+    run_tracked,
+):
+    async def test(server, agent, tracker, nursery):
+        earlier_born_ms = await restart_with_clock_set_back(server)
+        announce(tracker, server, 1)
+        assert tracker.newest_announcement.born_ms == server.born_ms
+        agent.announcements.clear()
+        for sequence in (2, 9):
+            announce(
+                tracker, server, sequence, sequence == 9, 16, born_ms=earlier_born_ms
+            )
+            assert not tracker.is_draining
+        assert agent.announcements == []
+        assert (await run_task(agent)).status is Status.DONE
+        announce(tracker, server, 2, slots=4)
+        assert [announcement.slots for announcement in agent.announcements] == [4]
+
+    run_tracked(test)
+
+
+def test_heartbeat_delayed_until_before_the_first_reply_after_a_restart_is_ignored(
+    run_tracked,
+):
+    # The client still knows the start time of the earlier incarnation then.
+    async def test(server, agent, tracker, nursery):
+        earlier_born_ms = server.born_ms
+        server.crash()
+        announce(tracker, server, 1)
+        announce(tracker, server, 9, is_draining=True, born_ms=earlier_born_ms)
+        assert not tracker.is_draining
+        assert len(agent.announcements) == 1
+        await trio.sleep(0.5)
+        announce(tracker, server, 10, is_draining=True, born_ms=earlier_born_ms)
+        assert not tracker.is_draining
+        assert (await run_task(agent)).status is Status.DONE
+
+    run_tracked(test)
+
+
+def test_late_heartbeat_that_was_taken_for_a_newer_one_is_superseded(run_tracked):
+    # Nothing was heard of the incarnation that ran before the clock was set back.
+    async def test(server, agent, tracker, nursery):
+        server.born_ms += 1
+        await trio.sleep(0.5)
+        earlier_born_ms = await restart_with_clock_set_back(server)
+        announce(tracker, server, 1, slots=4)
+        announce(tracker, server, 9, slots=16, born_ms=earlier_born_ms)
+        await trio.sleep(0.5)
+        announce(tracker, server, 2, slots=4)
+        assert tracker.newest_announcement.born_ms == server.born_ms
+        assert agent.announcements[-1].slots == 4
+
+    run_tracked(test)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -200,7 +200,9 @@
 
 
 class FakeBackendClient:
-    """Records that its runs are marked as lost; runs no task."""
+    """Records that its runs are marked as lost; runs no task and gets no reply."""
+
+    confirmed_born_ms = None
 
     def __init__(self, agent, announcement):
         self._agent, self._incarnation = agent, announcement.incarnation
@@ -213,6 +215,9 @@
     def expect_end(self):
         pass
 
+    def reconfirm_incarnation(self):
+        pass
+
 
 def make_announcement(
     incarnation: str, born_ms: int, address: str = "w:1"
