Use a worker that restarts under another id with its clock set back

A worker that restarted under another id after its clock was set back got no task any more, until its agent restarted, or it did so again with a higher start time.

Cause: requests to its earlier id are refused ("other incarnation"), which closes their client for good. The heartbeats of the new id could have attached another client, but their start time was lower, so they were taken for late ones. A refusal names no start time that could show the order, as replies do under the same id.

Why it works: a refused client starts nothing more and its runs have ended, so nothing is lost by attaching the next id that announces itself. If its heartbeat was a late one, the new client is refused as well, before it opens, and the next heartbeat is tried. While a client is not refused, late heartbeats are ignored as before; a test shows that one with the higher start time ends no run of the new id.

Not covered: a worker that returns at another address with a lower start time. Nothing replies or refuses at the earlier one.

--- a/gooseberrylink/backends/incarnations.py
+++ b/gooseberrylink/backends/incarnations.py
@@ -112,6 +112,10 @@
         known = current.announcement
         if _identity(announcement) == _identity(known):
             return False
+        if current.backend.is_lost:
+            # Another incarnation refused its requests. If this heartbeat is late, its
+            # client will be refused as well, before it can start a task.
+            return True
         if announcement.born_ms == current.backend.confirmed_born_ms:
             # It replied after the known one had announced itself.
             return True
--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -218,6 +218,7 @@
         self._last_sign_of_life_s = -math.inf
         self._lease_end_s = 0.0
         self._is_closed = False
+        self._is_lost = False
         self._is_leaving = False
         self._has_crashed = False
         self._nursery: trio.Nursery | None = None
@@ -246,7 +247,7 @@
         A server that restarted under the same id is not replaced: runs whose start
         was requested before the restart was noticed may be running there.
         """
-        self._is_closed = True
+        self._is_closed = self._is_lost = True
         self._set_open(False)
         log_event("backend_lost", reason=reason, runs=len(self._runs))
         self._record_crash()
@@ -272,6 +273,11 @@
         """Whether it starts no new runs for good."""
         return self._is_closed
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether mark_lost() was called, also because its requests were refused."""
+        return self._is_lost
+
     @property
     def has_runs(self) -> bool:
         """Whether a run has not certainly ended."""
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -306,6 +306,7 @@
     """Client of a backend server that has not replied."""
 
     confirmed_born_ms = None
+    is_lost = False
 
 
 def test_only_the_newest_heartbeat_changes_the_capacity():
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -6,6 +6,7 @@
 from gooseberrylink.backends.client import Announcement
 from gooseberrylink.backends.incarnations import IncarnationTracker
 from gooseberrylink.backends.leased import LeasedBackendClient, LeaseSettings
+from gooseberrylink.backends.runs import ControlReply, StartReply
 from gooseberrylink.metrics import Metrics
 from gooseberrylink.peers.messages import Status
 from gooseberrylink.standins.leased_backend import FakeLeasedBackend
@@ -31,11 +32,48 @@
         self.announcements.append(announcement)
 
 
+class AddressedClient:
+    """Client of one incarnation id; others refuse its requests."""
+
+    def __init__(self, server, incarnation: str, ids: dict[int, str]):
+        self._server = server
+        self._incarnation = incarnation
+        self._ids = ids
+
+    def make_run_key(self, payload, attempt):
+        return self._server.make_run_key(payload, attempt)
+
+    async def start(self, *args):
+        return await self._request(self._server.start, args, StartReply)
+
+    async def stop(self, *args):
+        return await self._request(self._server.stop, args, ControlReply)
+
+    async def renew(self, *args):
+        return await self._request(self._server.renew, args, ControlReply)
+
+    async def _request(self, send, args, reply_type):
+        born_ms = self._server.born_ms
+        if self._ids.get(born_ms, "i-1") != self._incarnation:
+            await trio.sleep(0.001)
+            return reply_type.OTHER_INCARNATION
+        reply = await send(*args)
+        # A reply of a later incarnation would come over another connection.
+        return reply if self._server.born_ms == born_ms else reply_type.UNANSWERED
+
+
 @pytest.fixture
 def run_tracked(run_on_mock_clock):
     """Returns a function that runs a test with a backend server and a tracker."""
 
-    def run(test):
+    def run(test, ids: dict[int, str] | None = None):
+        """Runs a test.
+
+        Args:
+            test: Gets the backend server, the agent, the tracker and a nursery.
+            ids: Ids of the incarnations by start time; "i-1" for all others.
+        """
+
         async def main():
             async with trio.open_nursery() as nursery:
                 server = FakeLeasedBackend("tank-1", nursery)
@@ -43,8 +81,12 @@
                 agent = FakeAgent(nursery)
                 tracker = IncarnationTracker(
                     agent,
-                    lambda _: LeasedBackendClient(
-                        server, 5, LeaseSettings(), agent.metrics, lambda: None
+                    lambda announcement: LeasedBackendClient(
+                        AddressedClient(server, announcement.incarnation, ids or {}),
+                        5,
+                        LeaseSettings(),
+                        agent.metrics,
+                        lambda: None,
                     ),
                 )
                 announce(tracker, server)
@@ -64,9 +106,10 @@
     is_draining: bool = False,
     slots: int = 8,
     born_ms: int | None = None,
+    incarnation: str = "i-1",
 ) -> None:
     announcement = Announcement(
-        "s", "w:1", slots, incarnation="i-1", born_ms=born_ms or server.born_ms
+        "s", "w:1", slots, incarnation=incarnation, born_ms=born_ms or server.born_ms
     )
     tracker.handle_announcement(announcement, sequence, is_draining)
 
@@ -272,3 +315,60 @@
         assert agent.announcements[-1].slots == 4
 
     run_tracked(test)
+
+
+def test_backend_server_that_restarts_under_another_id_with_its_clock_set_back_is_used(
+    run_tracked,
+):
+    # Its client was closed for good, as its heartbeats seemed older.
+    async def test(server, agent, tracker, nursery):
+        await restart_with_clock_set_back(server)
+        announce(tracker, server, 1, incarnation="i-2")
+        await wait_until_open(agent)
+        assert (await run_task(agent)).status is Status.DONE
+        announce(tracker, server, 2, is_draining=True, incarnation="i-2")
+        assert tracker.is_draining
+
+    run_tracked(test, ids={995_001: "i-2"})
+
+
+def test_heartbeat_delayed_until_another_id_has_replaced_its_sender_ends_no_run(
+    run_tracked,
+):
+    async def test(server, agent, tracker, nursery):
+        earlier_born_ms = await restart_with_clock_set_back(server)
+        announce(tracker, server, 2, born_ms=earlier_born_ms)
+        announce(tracker, server, 1, incarnation="i-2")
+        await wait_until_open(agent)
+        outcomes = []
+
+        async def run():
+            outcomes.append(await run_task(agent, run_s=1.0))
+
+        nursery.start_soon(run)
+        await trio.sleep(0.1)
+        for sequence in (3, 9):
+            announce(tracker, server, sequence, sequence == 9, born_ms=earlier_born_ms)
+        assert not tracker.is_draining
+        assert tracker.newest_announcement.incarnation == "i-2"
+        await trio.sleep(1.5)
+        assert [outcome.status for outcome in outcomes] == [Status.DONE]
+        assert [run.end_kind.value for run in server.runs] == ["done"]
+
+    run_tracked(test, ids={995_001: "i-2"})
+
+
+def test_backend_server_is_used_again_after_a_late_heartbeat_replaced_it(run_tracked):
+    # Nothing was heard before of the incarnation that sent the late heartbeat.
+    async def test(server, agent, tracker, nursery):
+        await restart_with_clock_set_back(server)
+        announce(tracker, server, 1, incarnation="i-2")
+        await wait_until_open(agent)
+        announce(tracker, server, 9, born_ms=1_000_001, incarnation="i-unheard")
+        await trio.sleep(0.5)
+        assert not agent.backends[-1].is_open
+        announce(tracker, server, 2, incarnation="i-2")
+        await wait_until_open(agent)
+        assert (await run_task(agent)).status is Status.DONE
+
+    run_tracked(test, ids={995_001: "i-2"})
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -203,6 +203,7 @@
     """Records that its runs are marked as lost; runs no task and gets no reply."""
 
     confirmed_born_ms = None
+    is_lost = False
 
     def __init__(self, agent, announcement):
         self._agent, self._incarnation = agent, announcement.incarnation
