Use a worker that left and returns with its clock set back

A worker that drained, deregistered and restarted under its id after its clock was set back got no task any more, until its agent restarted.

Cause: its start time was lower than that of the incarnation that had left. The start time in its replies, which shows the order otherwise, is never seen: the client of a worker that drains is closed and requests nothing once its last run has ended.

Evidence: test_backend_server_that_left_is_used_after_its_clock_was_set_back failed before with trio.TooSlowError, as no client opened within 5 s.

Why it works: a deregistration is the last thing that an incarnation sends, so another one that announces itself afterwards, and is not known as an earlier one, is newer.

Ruled out: the same for a worker that drains without a deregistration. It may still be up, and a late heartbeat of an earlier incarnation would let tasks start there (rule DRAIN); a test holds this. So a worker whose deregistration is lost is still not used after such a restart.

--- a/gooseberrylink/backends/incarnations.py
+++ b/gooseberrylink/backends/incarnations.py
@@ -41,12 +41,14 @@
         backend: Client of this incarnation.
         sequence: Number of its last heartbeat.
         is_draining: Whether it accepts no new tasks.
+        has_left: Whether it has deregistered, so that it ends.
     """
 
     announcement: Announcement
     backend: LeasedBackendClient
     sequence: int
     is_draining: bool = False
+    has_left: bool = False
 
 
 class IncarnationTracker:
@@ -104,6 +106,7 @@
         """See AnnouncementReceiver."""
         current = self._current
         if current is not None and current.announcement.incarnation == incarnation:
+            current.has_left = True
             self._detach(current, "left")
 
     def _is_newer(
@@ -121,6 +124,8 @@
             return True
         if _identity(announcement) in self._earlier:
             return False
+        if current.has_left:
+            return True
         # Equal or unknown start times give no order; the last to announce itself is
         # taken as the newer one.
         return announcement.born_ms >= known.born_ms
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -372,3 +372,38 @@
         assert (await run_task(agent)).status is Status.DONE
 
     run_tracked(test, ids={995_001: "i-2"})
+
+
+def test_backend_server_that_left_is_used_after_its_clock_was_set_back(run_tracked):
+    # Its closed client requests nothing, so that no reply shows the restart.
+    async def test(server, agent, tracker, nursery):
+        announce(tracker, server, 2, is_draining=True)
+        tracker.handle_deregistration("i-1")
+        await trio.sleep(1.0)
+        earlier_born_ms = await restart_with_clock_set_back(server)
+        announce(tracker, server, 3, born_ms=earlier_born_ms)
+        assert tracker.is_draining
+        announce(tracker, server, 1)
+        await wait_until_open(agent)
+        announce(tracker, server, 9, is_draining=True, born_ms=earlier_born_ms)
+        assert not tracker.is_draining
+        assert (await run_task(agent)).status is Status.DONE
+
+    run_tracked(test)
+
+
+@pytest.mark.parametrize("age_ms", [1, 500], ids=["known", "unheard"])
+def test_backend_server_that_drains_is_not_replaced_by_its_earlier_incarnation(
+    run_tracked, age_ms
+):
+    async def test(server, agent, tracker, nursery):
+        server.crash()
+        announce(tracker, server, 1)
+        announce(tracker, server, 2, is_draining=True)
+        await trio.sleep(1.0)
+        announce(tracker, server, 9, born_ms=server.born_ms - age_ms)
+        await trio.sleep(1.0)
+        assert tracker.is_draining
+        assert len(agent.backends) == 1
+
+    run_tracked(test)
