Rerun after silence only tasks whose start is known as confirmed

When an agent died or its host was cut off while a start that it had requested had no reply, and stayed away for longer than 2.6 s, its entry reran the task; the worker then executed the first start, 2 to 12 s late and with a lease from then, beside the rerun.

Cause: the entry took the end of all leases for the end of all runs. That holds for a run that has started, not for a start that may still be executed. The hello that an agent sends after dial_after_s without a reply of its worker claimed the same.

Agents now list in the frames that they send anyway (AgentFrame.started_ids, appended) the assignments whose start the worker has confirmed, each once on a link and only while they run. After the silence the entry reruns only these. The others wait for the agent: a hello before dial_after_s shows that the worker replied to the new fencing token, which bars late starts, and the same incarnation answers the repeated revocation. Without it they are rerun once no late start can be left (max_late_start_s: 12 s and a lease on the platform; the default of 0, for backend servers that execute nothing late, keeps the behaviour). RERUN_AFTER_AGENT_END_S, and with it dial_after_s on the platform, includes that time, so a hello after silence alone is sent when it proves something. The loss is still recorded after the silence, so that crash limits count it as early as before.

--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -543,6 +543,28 @@
                 )
                 self._report_lost_run(lost_run, now_s)
 
+    def handle_start_confirmed(self, task_id: str) -> None:
+        """Reports to its entry that the backend server has started a task."""
+        for record in self._running.values():
+            if record.assign.task_id == task_id and not record.is_start_confirmed:
+                record.is_start_confirmed = True
+                peer = self._find_peer(record)
+                if peer is not None:
+                    peer.report_started(record.assignment_id)
+
+    def started_ids(self, entry_incarnation: str) -> list[str]:
+        """Returns an entry's assignments that run after a confirmed start."""
+        return [
+            record.assignment_id
+            for record in self._running.values()
+            if record.is_start_confirmed
+            and record.entry_incarnation == entry_incarnation
+        ]
+
+    def is_running(self, assignment_id: str) -> bool:
+        """Returns whether the task of an assignment was started and has not ended."""
+        return assignment_id in self._running
+
     def handle_crash(self) -> None:
         """Reports that runs were lost in a crash whose cause was unknown before."""
         now_s = trio.current_time()
@@ -705,7 +727,7 @@
         it listed all of its runs, that none is from an earlier incarnation, and that
         the fencing token bars late requests of one. A backend server may be gone for
         good, so the wait ends after dial_after_s, by which time entries have rerun
-        the tasks without a hello.
+        the tasks without a hello, and no late request can be left.
         """
         with trio.move_on_after(self.settings.dial_after_s) as scope:
             await self._backend_opened.wait()
--- a/gooseberrylink/assignment_table.py
+++ b/gooseberrylink/assignment_table.py
@@ -41,6 +41,7 @@
         result: Result to report to the entry, once there is one.
         backend: Backend server that runs the task, once started.
         is_stopping: Whether the backend server was asked to stop the task.
+        is_start_confirmed: Whether the backend server has confirmed the start.
     """
 
     assignment_id: str
@@ -53,6 +54,7 @@
     result: Result | None = None
     backend: BackendClient | None = None
     is_stopping: bool = False
+    is_start_confirmed: bool = False
 
 
 class AssignmentTable:
--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -177,6 +177,7 @@
         on_crash: Callable[[], None] = lambda: None,
         on_recovery: Callable[[], None] = lambda: None,
         on_start_in_doubt: Callable[[str, bool], None] = lambda task_id, suspect: None,
+        on_start_confirmed: Callable[[str], None] = lambda task_id: None,
     ):
         """Creates a client that is not open yet.
 
@@ -194,6 +195,8 @@
             on_start_in_doubt: Called with a task's id, and whether it may have crashed
                 the backend server, when a start has no reply and the last lease of the
                 silent backend server has ended.
+            on_start_confirmed: Called with a task's id when the backend server has
+                shown that it started the task.
         """
         self.is_open = False
         self._client = client
@@ -205,6 +208,7 @@
         self._on_crash = on_crash
         self._on_recovery = on_recovery
         self._on_start_in_doubt = on_start_in_doubt
+        self._on_start_confirmed = on_start_confirmed
         self._runs: dict[RunKey, _Run] = {}
         self._last_end_number = 0
         self._unanswered_start_count = 0
@@ -318,7 +322,7 @@
             return BackendOutcome(Status.FAILED, reason="backend_refused_payload")
         if reply is StartReply.STARTED:
             now_s = trio.current_time()
-            run.started_s = run.started_s or now_s
+            self._record_started(run, now_s)
             run.progressed_s = min(run.progressed_s, now_s)
             self._last_sign_of_life_s = now_s
             self._unanswered_start_count = 0
@@ -374,6 +378,11 @@
             is_start_unanswered=run.started_s is None,
         )
 
+    def _record_started(self, run: _Run, now_s: float) -> None:
+        if run.started_s is None:
+            run.started_s = now_s
+            self._on_start_confirmed(run.task_id)
+
     def _finish(self, run: _Run, kind: EndKind, is_backend_lost: bool = False) -> None:
         if run.end is None:
             run.end = kind
@@ -534,7 +543,7 @@
                 run.last_listed_s = self._last_reply_s
                 if run.started_s is None or progress > run.progress:
                     run.progressed_s = self._last_reply_s
-                run.started_s = run.started_s or self._last_reply_s
+                self._record_started(run, self._last_reply_s)
                 run.progress = progress
                 continue
             unknown_runs += 1
--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -86,8 +86,10 @@
             configuration, self.quotas, self.run_times, self._policy.is_deadline_aware
         )
         # For each agent whose link closed while it had tasks of this entry: the time
-        # from which none of them can be running, because all leases have expired.
+        # from which none that has started can be running, as all leases have expired.
         self._leases_end_s: dict[AgentPeer, float] = {}
+        # The same for their starts without a known confirmation, which may be late.
+        self._late_starts_end_s: dict[AgentPeer, float] = {}
         # An entry that was suspended for longer than its leases may have jobs that
         # their callers have submitted to other entries.
         self._suspension = SuspensionMonitor(settings.lease_s)
@@ -328,10 +330,16 @@
         self._remove_in_flight(peer, task)
         task.state = TaskState.UNKNOWN
         self._metrics.add("tasks_in_doubt", reason)
-        # The worker may have crashed as well, which its agent has not reported.
+        self._record_loss_in_silence(task)
+        return self._rerun(task, reason)
+
+    def _record_loss_in_silence(self, task: Task) -> None:
+        """Records that a task's worker may have crashed with its agent.
+
+        The agent has not reported it.
+        """
         lost_run = LostRun(task.spec.name, task.assignment_id, is_suspect=False)
         self.record_lost_run(lost_run)
-        return self._rerun(task, reason)
 
     def record_lost_run(
         self, lost_run: LostRun, reporter: AgentPeer | None = None
@@ -359,20 +367,29 @@
 
         The last disconnection counts: until then the agent had a lease.
         """
+        self._late_starts_end_s.pop(peer, None)
         if peer.tasks_in_flight:
             self._leases_end_s[peer] = (
                 trio.current_time() + self.settings.rerun_after_silence_s
             )
 
     def _reclaim_tasks_with_expired_leases(self) -> None:
-        """Reruns tasks of disconnected agents whose leases have expired."""
-        now_s = trio.current_time()
-        for peer, leases_end_s in list(self._leases_end_s.items()):
-            if leases_end_s > now_s and not peer.is_connected:
-                continue
-            del self._leases_end_s[peer]
-            if peer.is_connected:
-                continue
+        """Reruns tasks of disconnected agents whose leases have expired.
+
+        A task that is not known to have started may still start, with a new lease, so
+        it waits until no late start can be left.
+        """
+        max_late_start_s = self.settings.max_late_start_s
+        for peer, leases_end_s in _pop_ended(self._leases_end_s):
+            self._late_starts_end_s[peer] = leases_end_s + max_late_start_s
+            for task in list(peer.tasks_in_flight.values()):
+                if task.job.request.rerun_policy is None:
+                    continue
+                if task.is_start_confirmed:
+                    self._reclaim_task(peer, task, "leases_over")
+                elif max_late_start_s > 0:
+                    self._record_loss_in_silence(task)
+        for peer, _ in _pop_ended(self._late_starts_end_s):
             for task in list(peer.tasks_in_flight.values()):
                 if task.job.request.rerun_policy is not None:
                     self._reclaim_task(peer, task, "leases_over")
@@ -578,6 +595,7 @@
         task.worker = peer.worker
         task.attempts += 1
         task.assigned_s = trio.current_time()
+        task.is_start_confirmed = False
         if task.attempts == 1:
             waited_s = task.assigned_s - task.job.submitted_s
             self._metrics.observe("task_wait", waited_s)
@@ -667,6 +685,18 @@
             self._requeue(task)
 
 
+def _pop_ended(ends_s: dict[AgentPeer, float]) -> list[tuple[AgentPeer, float]]:
+    """Removes agents whose time has come or that are connected; returns the former."""
+    now_s = trio.current_time()
+    ended = []
+    for peer, end_s in list(ends_s.items()):
+        if peer.is_connected or end_s <= now_s:
+            del ends_s[peer]
+            if not peer.is_connected:
+                ended.append((peer, end_s))
+    return ended
+
+
 def _log_revocation(
     peer: AgentPeer, job: Job, tasks: list[Task], stop_running: bool
 ) -> None:
--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -373,6 +373,9 @@
         self.config_version = frame.config_version
         for lost_run in frame.lost_runs:
             self._entry.dispatcher.record_lost_run(lost_run, reporter=self)
+        for assignment_id in frame.started_ids:
+            if assignment_id in self.tasks_in_flight:
+                self.tasks_in_flight[assignment_id].is_start_confirmed = True
         for item in frame.items:
             match item:
                 case Result():
--- a/gooseberrylink/peers/entry_peer.py
+++ b/gooseberrylink/peers/entry_peer.py
@@ -62,6 +62,7 @@
         self._unsent_lost_runs: collections.deque[LostRun] = collections.deque(
             maxlen=MAX_LOST_RUNS_A_FRAME
         )
+        self._unsent_started_ids: list[str] = []
         self._has_failed = False
 
     @property
@@ -145,6 +146,7 @@
         self._unsent_lost_runs.extend(
             self._agent.crash_history.recent(trio.current_time())
         )
+        self._unsent_started_ids = self._agent.started_ids(self.incarnation)
         log_event("entry_connected", entry=hello.entry, address=self.address)
         self._agent.handle_entry_connected(self)
         # The old link may have lost results or their acknowledgements.
@@ -174,6 +176,11 @@
             self._unsent_lost_runs.append(lost_run)
             self.outbox.wake_sender()
 
+    def report_started(self, assignment_id: str) -> None:
+        """Reports a confirmed start with the next frame; a later session repeats it."""
+        if self.is_connected:
+            self._unsent_started_ids.append(assignment_id)
+
     def count_received_units(self, units: int) -> None:
         """Counts the units of a received assignment.
 
@@ -209,6 +216,7 @@
         self._host_sent = agent.host
         lost_runs = list(self._unsent_lost_runs)
         self._unsent_lost_runs.clear()
+        started_ids, self._unsent_started_ids = self._unsent_started_ids, []
         return AgentFrame(
             clock_s=now_s,
             free_units=free_units,
@@ -227,4 +235,5 @@
             speed=agent.speed,
             host=host,
             lost_runs=lost_runs,
+            started_ids=[i for i in started_ids if agent.is_running(i)],
         )
--- a/gooseberrylink/peers/messages.py
+++ b/gooseberrylink/peers/messages.py
@@ -233,6 +233,8 @@
             this link.
         lost_runs: Runs of all entries that were lost with the backend server, and
             that were not sent on this link yet.
+        started_ids: Ids of this entry's assignments that are running and whose start
+            the backend server has confirmed, each once on a link.
     """
 
     clock_s: float
@@ -252,6 +254,7 @@
     speed: float = 0.0
     host: Host | None = None
     lost_runs: list[LostRun] = []
+    started_ids: list[str] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/gooseberrylink/platform/agent_program.py
+++ b/gooseberrylink/platform/agent_program.py
@@ -112,6 +112,7 @@
             agent.handle_crash,
             agent.handle_recovery,
             agent.handle_start_in_doubt,
+            agent.handle_start_confirmed,
         )
 
 
--- a/gooseberrylink/platform/common.py
+++ b/gooseberrylink/platform/common.py
@@ -39,11 +39,16 @@
 MAX_RUN_AFTER_LEASE_S = 0.35
 # Time after an agent's link closed at which entries rerun its tasks.
 RERUN_AFTER_SILENCE_S = ENTRY_LEASE_S + 2 * LEASE_S
-# Time after an agent's end by which entries have done so, also if its link did not
-# close but fell silent.
+# How much later they rerun those that are not known to have started: workers execute
+# an order at most 12 s late, and may count its lease from then.
+MAX_LATE_START_S = 12.0 + LEASE_S
+# Time after an agent's end by which entries have rerun all of its tasks, also if its
+# link did not close but fell silent.
 RERUN_AFTER_AGENT_END_S = (
-    _MAX_MISSED_HEARTBEATS + 1
-) * _BUSY_HEARTBEAT_S + RERUN_AFTER_SILENCE_S
+    (_MAX_MISSED_HEARTBEATS + 1) * _BUSY_HEARTBEAT_S
+    + RERUN_AFTER_SILENCE_S
+    + MAX_LATE_START_S
+)
 
 
 async def serve_metrics(settings: Settings, metrics: Metrics) -> None:
--- a/gooseberrylink/platform/entry_program.py
+++ b/gooseberrylink/platform/entry_program.py
@@ -13,6 +13,7 @@
 from gooseberrylink.peers.tcp_link import TcpListener
 from gooseberrylink.platform.common import (
     MAX_IGNORED_BODY_BYTES,
+    MAX_LATE_START_S,
     RERUN_AFTER_SILENCE_S,
     RESPONSE_FLUSH_S,
     link_settings,
@@ -106,5 +107,6 @@
         agents_back_s=_STARTUP_GRACE_S,
         remote_factor=settings.bounds.remote_factor,
         rerun_after_silence_s=RERUN_AFTER_SILENCE_S,
+        max_late_start_s=MAX_LATE_START_S,
         **link_settings(),
     )
--- a/gooseberrylink/settings.py
+++ b/gooseberrylink/settings.py
@@ -65,9 +65,9 @@
         max_entries: Maximum number of entries that it connects to.
         dial_after_s: Time after the agent's start at which it connects to entries.
             By then entries must have rerun the tasks of the earlier incarnation,
-            because it is silent (rerun_after_silence_s). The agent connects earlier
-            once a backend server has listed its runs and none is from an earlier
-            incarnation.
+            because it is silent (rerun_after_silence_s, max_late_start_s). The agent
+            connects earlier once a backend server has listed its runs and none is
+            from an earlier incarnation.
         max_run_after_lease_s: How long tasks may run after the lease of their entry if
             the agent can't stop them, at a backend server with leases.
         retention_s: How long results are kept for their entry; must exceed the
@@ -153,7 +153,12 @@
         body_timeout_s: How long a caller may take to send the body of a request.
         rerun_after_silence_s: Time after an agent's link closed by which all its
             tasks have ended, because the leases of the agent and then of the
-            backend server have expired. The tasks may then be rerun.
+            backend server have expired. The tasks may then be rerun, if they have
+            started.
+        max_late_start_s: How much longer tasks are kept from a rerun of which the
+            entry does not know that they have started: how late a backend server
+            may execute a start, and the lease that the run then gets. 0 for backend
+            servers that execute none late.
         agents_back_s: Time after its start during which an entry accepts jobs even
             if no agent is connected yet.
         remote_factor: Factor by which a task takes longer on another rack than on
@@ -175,5 +180,6 @@
     retry_share: float = Field(default=0.5, ge=0)
     body_timeout_s: Seconds = 10.0
     rerun_after_silence_s: Seconds = 30.0
+    max_late_start_s: float = Field(default=0.0, ge=0)
     agents_back_s: float = Field(default=0.0, ge=0)
     remote_factor: float = Field(default=1.0, ge=1)
--- a/gooseberrylink/standins/deployment.py
+++ b/gooseberrylink/standins/deployment.py
@@ -190,6 +190,7 @@
             agent.handle_crash,
             agent.handle_recovery,
             agent.handle_start_in_doubt,
+            agent.handle_start_confirmed,
         )
         incarnations = IncarnationTracker(agent, lambda _: client)
         self.incarnations[backend.name] = incarnations
--- a/gooseberrylink/types.py
+++ b/gooseberrylink/types.py
@@ -137,6 +137,8 @@
         attempts: How often it was assigned.
         failures: How many of its runs failed.
         assigned_s: Time of the last assignment on the entry's clock.
+        is_start_confirmed: Whether the backend server of the latest assignment has
+            confirmed the start.
         avoided_workers: Workers at which a run of it failed, was stopped, or was
             lost.
         is_crash_suspect: Whether a run of it may have crashed its backend server.
@@ -154,6 +156,7 @@
     attempts: int = 0
     failures: int = 0
     assigned_s: float = 0.0
+    is_start_confirmed: bool = False
     avoided_workers: set[str] = dataclasses.field(default_factory=set)
     is_crash_suspect: bool = False
 
--- a/tests/test_agent_restart.py
+++ b/tests/test_agent_restart.py
@@ -8,7 +8,7 @@
 
 from gooseberrylink.codes import Code
 from gooseberrylink.platform import agent_program, entry_program
-from gooseberrylink.platform.common import link_settings
+from gooseberrylink.platform.common import RERUN_AFTER_SILENCE_S, link_settings
 from gooseberrylink.platform.settings import read_settings
 from gooseberrylink.standins.leased_backend import (
     FakeLeasedBackend,
@@ -19,6 +19,8 @@
 # run ends 2.4 s after the request, before entries rerun tasks of a silent agent.
 EXECUTION_DELAY_S = 1.5
 LEASE_MS = 900
+# Time after which an entry closes a silent link and has checked which leases are over.
+MAX_SILENCE_S = 1.25
 
 
 class BackendWithLateLeases(FakeLeasedBackend):
@@ -91,3 +93,176 @@
             nursery.cancel_scope.cancel()
 
     run_on_deployment(test)
+
+
+@pytest.fixture
+def run_with_platform_settings(run_on_deployment, platform_settings):
+    """Returns a function that runs a test on one entry and two workers.
+
+    The second worker has no agent until the test adds it.
+    """
+    entry_settings = entry_program._entry_settings(platform_settings).model_dump(
+        exclude={"entry", "data_centre", "listen", "listen_agents", "platform"}
+    )
+    entry_settings |= {"entries": [], "ready_peers": 1}
+    agent_settings = agent_program._agent_settings(platform_settings).model_dump(
+        exclude={"worker", "data_centre", "entries"}
+    )
+
+    def run(test):
+        async def main(deployment):
+            async with trio.open_nursery() as nursery:
+                await deployment.add_entry("entry-1", **entry_settings)
+                workers = [FakeLeasedBackend(f"tank-{n}", nursery) for n in (1, 2)]
+                for worker in workers:
+                    worker.counts_lease_from_arrival = True
+                    nursery.start_soon(worker.advance_runs)
+
+                async def add_agent(worker, fencing_token=1):
+                    await deployment.add_agent_with_leases(
+                        worker, fencing_token, **agent_settings
+                    )
+
+                await add_agent(workers[0])
+                await deployment.wait_connected()
+                await test(deployment, workers, add_agent)
+                nursery.cancel_scope.cancel()
+
+        run_on_deployment(main)
+
+    return run
+
+
+def start_submitting(deployment, job) -> list[Code]:
+    """Submits a job in the background; the code of its answer is added to the list."""
+    codes = []
+
+    async def submit():
+        answer = await deployment.entries[0].submit(job)
+        codes.append(answer.code)
+
+    deployment.start_soon(submit)
+    return codes
+
+
+def lose_agent(deployment, fault: str) -> None:
+    if fault == "agent_killed":
+        deployment.kill_agent("tank-1")
+    else:
+        deployment.network.partition("tank-1")
+
+
+@pytest.mark.parametrize("late_s", [2.0, 2.5, 3.0, 4.0])
+@pytest.mark.parametrize("fault", ["agent_killed", "host_cut_off"])
+def test_task_whose_start_has_no_reply_is_not_rerun_before_its_agent_is_back(
+    run_with_platform_settings, fault, late_s
+):
+    # The worker executed the start while the rerun was in progress.
+    async def test(deployment, workers, add_agent):
+        worker, other_worker = workers
+        worker.execution_delay_s = late_s
+        codes = start_submitting(deployment, make_job("a", 1.5))
+        await trio.sleep(0.05)
+        lose_agent(deployment, fault)
+        worker.execution_delay_s = 0.0
+        worker.is_unresponsive = True
+        await add_agent(other_worker)
+        await trio.sleep(5.0)
+        worker.is_unresponsive = False
+        if fault == "agent_killed":
+            await add_agent(worker, fencing_token=2)
+        else:
+            deployment.network.heal("tank-1")
+        await trio.sleep(4.0)
+        assert find_tasks_with_overlapping_runs(workers) == []
+        assert len(worker.runs) == 1
+        assert codes == [Code.OK]
+
+    run_with_platform_settings(test)
+
+
+@pytest.mark.parametrize("fault", ["agent_killed", "host_cut_off"])
+def test_task_that_has_started_is_rerun_while_its_agent_is_away(
+    run_with_platform_settings, fault
+):
+    async def test(deployment, workers, add_agent):
+        worker, other_worker = workers
+        codes = start_submitting(deployment, make_job("a", 4.0))
+        await trio.sleep(0.5)
+        lose_agent(deployment, fault)
+        lost_s = trio.current_time()
+        await add_agent(other_worker)
+        await trio.sleep(9.0)
+        assert codes == [Code.OK]
+        (rerun,) = other_worker.runs
+        assert rerun.started_s < lost_s + MAX_SILENCE_S + RERUN_AFTER_SILENCE_S
+        assert find_tasks_with_overlapping_runs(workers) == []
+
+    run_with_platform_settings(test)
+
+
+def test_start_that_was_reported_on_a_lost_link_is_reported_on_the_next(
+    run_with_platform_settings,
+):
+    async def test(deployment, workers, add_agent):
+        worker, other_worker = workers
+        codes = start_submitting(deployment, make_job("a", 6.0, deadline_s=14.0))
+        await trio.sleep(0.005)
+        for connection in deployment.network.find_open_connections("tank-1"):
+            connection.agent_end.is_partitioned = True
+        await trio.sleep(0.5)
+        assert len(worker.runs) == 1
+        for connection in deployment.network.find_open_connections("tank-1"):
+            connection.entry_end.close()
+        await trio.sleep(0.5)
+        deployment.kill_agent("tank-1")
+        await add_agent(other_worker)
+        await trio.sleep(12.0)
+        assert codes == [Code.OK]
+        assert find_tasks_with_overlapping_runs(workers) == []
+
+    run_with_platform_settings(test)
+
+
+def test_hello_after_silence_does_not_rerun_a_task_whose_start_has_no_reply(
+    run_with_platform_settings,
+):
+    # The next incarnation of the agent had no reply from the worker, either.
+    async def test(deployment, workers, add_agent):
+        worker, other_worker = workers
+        worker.execution_delay_s = 5.0
+        codes = start_submitting(deployment, make_job("a", 4.0, deadline_s=20.0))
+        await trio.sleep(0.05)
+        deployment.kill_agent("tank-1")
+        worker.is_unresponsive = True
+        await add_agent(other_worker)
+        await add_agent(worker, fencing_token=2)
+        await trio.sleep(7.0)
+        worker.execution_delay_s = 0.0
+        worker.is_unresponsive = False
+        await trio.sleep(6.0)
+        assert find_tasks_with_overlapping_runs(workers) == []
+        assert codes == [Code.OK]
+
+    run_with_platform_settings(test)
+
+
+@pytest.mark.parametrize("late_s", [2.0, 7.0, 12.0])
+def test_task_whose_start_has_no_reply_is_rerun_once_no_late_start_can_be_left(
+    run_with_platform_settings, late_s
+):
+    async def test(deployment, workers, add_agent):
+        worker, other_worker = workers
+        worker.execution_delay_s = late_s
+        codes = start_submitting(deployment, make_job("a", 4.0, deadline_s=30.0))
+        await trio.sleep(0.05)
+        deployment.kill_agent("tank-1")
+        worker.is_unresponsive = True
+        await add_agent(other_worker)
+        await add_agent(worker, fencing_token=2)
+        await trio.sleep(25.0)
+        assert find_tasks_with_overlapping_runs(workers) == []
+        assert [len(w.runs) for w in workers] == [1, 1]
+        assert codes == [Code.OK]
+
+    run_with_platform_settings(test)
