Let the sender of a replaced link take nothing from the new session

An entry that learned of crashes while an agent's new link replaced one whose end it had not noticed didn't pass them on: with one agent and two entries, the other entry started the task, which crashed its worker twice.

Cause: the sender task of the old session had just been woken. It ran once more before it was cancelled, took the lost runs and acknowledgements of the new session, and encoded them into a frame for the closed link. Outboxes belong to a session, but these belong to the peer. Lost acknowledgements have no lasting effect, as agents send their results again.

Ruled out, by reading: the same at the agent, where EntryPeer.run() serves one session after the other; and a sender whose link has closed but isn't replaced yet, as the next session repeats the news.

Why it works: a session that is replaced is told so before the new one begins, and its sender ends without a frame. What is in its outbox is returned as before.

--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -250,7 +250,7 @@
             link.close()
             return
         if self._session is not None:
-            self._session.link.close()
+            self._session.close_as_replaced()
         entry = self._entry
         session = Session(link, entry.settings, entry.configuration, entry.random, self)
         self._start_session(session, hello)
--- a/gooseberrylink/peers/session.py
+++ b/gooseberrylink/peers/session.py
@@ -63,6 +63,7 @@
         self.link = link
         self.outbox = Outbox()
         self._owner = owner
+        self._is_replaced = False
         self._config_push = ConfigPush(configuration, self.outbox, rng)
         self._heartbeat = Heartbeat(settings, self.outbox, owner.is_busy)
 
@@ -70,6 +71,11 @@
         """Records which configuration version the peer has."""
         self._config_push.peer_version = version
 
+    def close_as_replaced(self) -> None:
+        """Closes the link; the peer's next frame belongs to its next session."""
+        self._is_replaced = True
+        self.link.close()
+
     async def run(self) -> None:
         """Sends and receives until the link closes."""
         try:
@@ -107,6 +113,8 @@
     async def _send_frames(self) -> None:
         while True:
             is_heartbeat = await self._heartbeat.wait_until_due()
+            if self._is_replaced:
+                return
             items = self.outbox.take()
             try:
                 self.link.send(self._owner.encode_next_frame(items, is_heartbeat))
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -899,3 +899,36 @@
             assert answer.code is Code.OK
 
     run_deployment_with_leases(test, entries=4, workers=6, max_entries=2)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_losses_are_not_taken_by_the_sender_of_a_replaced_link(
+    run_deployment_with_leases, seed
+):
+    # A sender that was woken just before its link was replaced put them into a frame
+    # for the closed link.
+    async def test(deployment, workers):
+        informed, other = deployment.entries
+        make_hello = informed.make_hello
+
+        def learn_of_crashes():
+            informed.make_hello = make_hello
+            for number in range(2):
+                informed.dispatcher.record_lost_run(
+                    LostRun("a.0", f"other/{number}", True, True)
+                )
+            return make_hello()
+
+        informed.make_hello = learn_of_crashes
+        # The agent reconnects before the entry notices that the link is closed.
+        (connection,) = deployment.network.find_open_connections(
+            address=informed.address_for_agents
+        )
+        connection.agent_end.is_partitioned = True
+        connection.agent_end.close()
+        await trio.sleep(3.0)
+        answer = await other.submit(make_crashing_job("a", 0.1))
+        assert answer.code is Code.WORKERS_CRASHED
+        assert find_crashes(workers) == []
+
+    run_deployment_with_leases(test, entries=2, workers=1, seed=seed)
