Hold what an entry that was cut off does with its jobs, and when it was not cut off

Two tests: jobs older than a lease fail with 301, or 118 if no task was assigned, and a new one is accepted; and the death of all agents, which closes their links, is no isolation.

--- a/tests/test_overlapping_runs.py
+++ b/tests/test_overlapping_runs.py
@@ -570,3 +570,56 @@
         assert find_tasks_with_overlapping_runs(workers) == []
 
     run_deployment_with_leases(test)
+
+
+def test_entry_that_was_cut_off_fails_its_jobs_and_accepts_new_ones(
+    run_deployment_with_leases,
+):
+    async def test(deployment, workers):
+        entry = deployment.entries[0]
+        codes = {}
+
+        async def submit(label: str, task_count: int):
+            job = make_leased_job(label, *[2.0] * task_count)
+            codes[label] = (await entry.submit(job)).code
+
+        # The second job waits for free capacity.
+        deployment.start_soon(lambda: submit("a", 24))
+        await trio.sleep(0.1)
+        deployment.start_soon(lambda: submit("b", 1))
+        await trio.sleep(0.2)
+        for worker in workers:
+            deployment.network.partition(worker.name, entry.address_for_agents)
+        await trio.sleep(1.5)
+        assert codes == {}
+        for worker in workers:
+            deployment.network.heal(worker.name)
+        await trio.sleep(1.0)
+        assert codes == {"a": Code.AGENT_LOST, "b": Code.NO_BACKEND_SERVER}
+        await submit("c", 1)
+        assert codes["c"] is Code.OK
+
+    run_deployment_with_leases(test)
+
+
+def test_entry_whose_agents_all_died_reruns_their_tasks(run_deployment_with_leases):
+    # Their links were closed, so the entry could be reached all the while.
+    async def test(deployment, workers):
+        entry = deployment.entries[0]
+        codes = []
+
+        async def submit():
+            codes.append((await entry.submit(make_leased_job("a", *[1.0] * 6))).code)
+
+        deployment.start_soon(submit)
+        await trio.sleep(0.3)
+        for worker in workers:
+            deployment.kill_agent(worker.name)
+        await trio.sleep(1.5)
+        for worker in workers:
+            await deployment.add_agent_with_leases(worker, fencing_token=2)
+        await trio.sleep(4.0)
+        assert codes == [Code.OK]
+        assert find_tasks_with_overlapping_runs(workers) == []
+
+    run_deployment_with_leases(test)
