Pass the agent to a client of a backend server in place of six functions

BackendOwner is the protocol of what a client tells its agent; the agent is passed whole.

test_agent_is_told_that_a_lost_backend_server_is_closed replaces the method of the owner now, and asserts the same. test_leased, test_incarnations, test_late_orders, test_worker_crashes, test_overlapping_runs and test_malformed_input passed. What the product does is unchanged.

--- a/gooseberrylink/backends/client.py
+++ b/gooseberrylink/backends/client.py
@@ -107,3 +107,36 @@
 
     def progress_per_s(self, task_id: str) -> float | None:
         """Returns the completed fraction of a task per second; None if unknown."""
+
+
+class BackendOwner(Protocol):
+    """The agent that uses a backend server, as a client with leases sees it."""
+
+    def handle_availability_change(self) -> None:
+        """Handles that is_open of the client has changed."""
+
+    def run_lease_limit_s(self) -> float:
+        """Returns the time beyond which no lease may be requested now."""
+
+    def handle_start_confirmed(self, task_id: str) -> None:
+        """Handles that the backend server has shown that it started a task."""
+
+    def handle_start_in_doubt(self, task_id: str, is_crash_suspect: bool) -> None:
+        """Handles that a start has no reply, and that the last lease has ended.
+
+        Args:
+            task_id: Id of the task.
+            is_crash_suspect: Whether the task may have crashed the backend server.
+        """
+
+    def handle_crash(self) -> None:
+        """Handles that a newer incarnation shows that the backend server crashed.
+
+        Its runs may have ended before.
+        """
+
+    def handle_recovery(self) -> None:
+        """Handles that the same incarnation replies again after a silence.
+
+        The runs that ended in it were not lost in a crash.
+        """
--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -25,12 +25,11 @@
 
 import dataclasses
 import math
-from collections.abc import Callable
 from typing import Any
 
 import trio
 
-from gooseberrylink.backends.client import BackendOutcome
+from gooseberrylink.backends.client import BackendOutcome, BackendOwner
 from gooseberrylink.backends.fencing import FencingToken
 from gooseberrylink.backends.runs import (
     ControlReply,
@@ -127,7 +126,7 @@
         is_crash: Whether it ended because a newer incarnation was seen.
         is_stalled: Whether the run was stopped because of missing progress.
         end: How the run ended; None before.
-        is_in_doubt: Whether on_start_in_doubt was called for it.
+        is_in_doubt: Whether its owner was told that its start is in doubt.
         is_stopping: Whether a stop was requested.
         stop_requests: How many requests to stop it were sent.
         stop_settled: Set when a stop is confirmed or the run has ended.
@@ -172,12 +171,7 @@
         fencing_token: int,
         settings: LeaseSettings,
         metrics: Metrics,
-        on_availability_change: Callable[[], None],
-        lease_limit_s: Callable[[], float] = lambda: math.inf,
-        on_crash: Callable[[], None] = lambda: None,
-        on_recovery: Callable[[], None] = lambda: None,
-        on_start_in_doubt: Callable[[str, bool], None] = lambda task_id, suspect: None,
-        on_start_confirmed: Callable[[str], None] = lambda task_id: None,
+        owner: BackendOwner,
     ):
         """Creates a client that is not open yet.
 
@@ -186,29 +180,14 @@
             fencing_token: Fencing token of this incarnation of the agent.
             settings: Durations.
             metrics: Counters of the agent.
-            on_availability_change: Called when is_open has changed.
-            lease_limit_s: Returns the time beyond which no lease may be requested now.
-            on_crash: Called when a newer incarnation shows that the backend server
-                crashed. Its runs may have ended before.
-            on_recovery: Called when the same incarnation replies again after a silence,
-                so that the runs that ended in it were not lost in a crash.
-            on_start_in_doubt: Called with a task's id, and whether it may have crashed
-                the backend server, when a start has no reply and the last lease of the
-                silent backend server has ended.
-            on_start_confirmed: Called with a task's id when the backend server has
-                shown that it started the task.
+            owner: The agent that uses the backend server.
         """
         self.is_open = False
         self._client = client
         self._fencing_token = FencingToken(fencing_token)
         self._settings = settings
         self._metrics = metrics
-        self._on_availability_change = on_availability_change
-        self._lease_limit_s = lease_limit_s
-        self._on_crash = on_crash
-        self._on_recovery = on_recovery
-        self._on_start_in_doubt = on_start_in_doubt
-        self._on_start_confirmed = on_start_confirmed
+        self._owner = owner
         self._runs: dict[RunKey, _Run] = {}
         self._last_end_number = 0
         self._unanswered_start_count = 0
@@ -407,7 +386,7 @@
     def _record_started(self, run: _Run, now_s: float) -> None:
         if run.started_s is None:
             run.started_s = now_s
-            self._on_start_confirmed(run.task_id)
+            self._owner.handle_start_confirmed(run.task_id)
 
     def _finish(self, run: _Run, kind: EndKind, is_backend_lost: bool = False) -> None:
         if run.end is None:
@@ -491,7 +470,7 @@
         if isinstance(report, RunReport):
             self._last_reply_s = self._last_sign_of_life_s = trio.current_time()
             if not self._is_responsive and report.born_ms == self._born_ms:
-                self._on_recovery()
+                self._owner.handle_recovery()
             self._is_responsive = True
             self._apply_report(report, report_requested_s)
             return
@@ -556,7 +535,7 @@
     def _record_crash(self) -> None:
         if not self._is_leaving:
             self._has_crashed = True
-            self._on_crash()
+            self._owner.handle_crash()
 
     def _update_progress(self, report: RunReport) -> int:
         """Updates the progress of runs, and stops runs that this agent did not start.
@@ -643,7 +622,9 @@
             elif not (run.is_in_doubt or self._is_leaving):
                 # It has not certainly ended, as it may still start.
                 run.is_in_doubt = True
-                self._on_start_in_doubt(run.task_id, _may_have_crashed_backend(run))
+                self._owner.handle_start_in_doubt(
+                    run.task_id, _may_have_crashed_backend(run)
+                )
 
     async def _set_not_open_when_silent(self) -> None:
         """Starts no new runs while the backend server does not reply."""
@@ -657,11 +638,11 @@
             return
         self.is_open = is_open
         log_event("backend_opened" if is_open else "backend_closed")
-        self._on_availability_change()
+        self._owner.handle_availability_change()
 
     def _next_lease_s(self) -> float:
         """Returns how long the next lease may last; at most 0 if none is allowed."""
-        limit_s = self._lease_limit_s() - trio.current_time()
+        limit_s = self._owner.run_lease_limit_s() - trio.current_time()
         return min(self._settings.lease_s, limit_s)
 
     def _to_backend_clock_ms(self, from_now_s: float) -> int:
--- a/gooseberrylink/platform/agent_program.py
+++ b/gooseberrylink/platform/agent_program.py
@@ -108,12 +108,7 @@
             _make_fencing_token(),
             lease,
             agent.metrics,
-            agent.handle_availability_change,
-            agent.run_lease_limit_s,
-            agent.handle_crash,
-            agent.handle_recovery,
-            agent.handle_start_in_doubt,
-            agent.handle_start_confirmed,
+            agent,
         )
 
 
--- a/gooseberrylink/standins/deployment.py
+++ b/gooseberrylink/standins/deployment.py
@@ -185,12 +185,7 @@
             fencing_token,
             LeaseSettings(),
             agent.metrics,
-            agent.handle_availability_change,
-            agent.run_lease_limit_s,
-            agent.handle_crash,
-            agent.handle_recovery,
-            agent.handle_start_in_doubt,
-            agent.handle_start_confirmed,
+            agent,
         )
         incarnations = IncarnationTracker(agent, lambda _: client)
         self.incarnations[backend.name] = incarnations
--- a/gooseberrylink/standins/leased_backend.py
+++ b/gooseberrylink/standins/leased_backend.py
@@ -337,6 +337,36 @@
         return round(trio.current_time() * 1000 * (1 - self.clock_drift))
 
 
+class FakeBackendOwner:
+    """Takes no notice of what a client reports; see BackendOwner.
+
+    Attributes:
+        lease_limit_s: Time beyond which no lease may be requested.
+    """
+
+    def __init__(self):
+        self.lease_limit_s = math.inf
+
+    def handle_availability_change(self) -> None:
+        """See BackendOwner."""
+
+    def run_lease_limit_s(self) -> float:
+        """See BackendOwner."""
+        return self.lease_limit_s
+
+    def handle_start_confirmed(self, task_id: str) -> None:
+        """See BackendOwner."""
+
+    def handle_start_in_doubt(self, task_id: str, is_crash_suspect: bool) -> None:
+        """See BackendOwner."""
+
+    def handle_crash(self) -> None:
+        """See BackendOwner."""
+
+    def handle_recovery(self) -> None:
+        """See BackendOwner."""
+
+
 def find_tasks_with_overlapping_runs(backends: list[FakeLeasedBackend]) -> list[str]:
     """Returns the names of tasks of which two runs overlapped in time."""
     by_name: dict[str, list[RecordedRun]] = {}
--- a/gooseberrylink/standins/processes.py
+++ b/gooseberrylink/standins/processes.py
@@ -163,9 +163,7 @@
                 _UNIX_TIME_MS + elapsed_ms,
                 LeaseSettings(),
                 agent.metrics,
-                agent.handle_availability_change,
-                agent.run_lease_limit_s,
-                agent.handle_crash,
+                agent,
             )
 
         self.agents[worker.name] = agent
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -9,7 +9,7 @@
 from gooseberrylink.backends.runs import ControlReply, StartReply
 from gooseberrylink.metrics import Metrics
 from gooseberrylink.peers.messages import Status
-from gooseberrylink.standins.leased_backend import FakeLeasedBackend
+from gooseberrylink.standins.leased_backend import FakeBackendOwner, FakeLeasedBackend
 
 
 class FakeAgent:
@@ -86,7 +86,7 @@
                         5,
                         LeaseSettings(),
                         agent.metrics,
-                        lambda: None,
+                        FakeBackendOwner(),
                     ),
                 )
                 announce(tracker, server)
@@ -213,7 +213,7 @@
                     5,
                     LeaseSettings(),
                     agent.metrics,
-                    lambda: None,
+                    FakeBackendOwner(),
                 ),
             )
             for number, server in enumerate(servers):
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -12,6 +12,7 @@
 from gooseberrylink.platform.common import link_settings
 from gooseberrylink.resources import Resources
 from gooseberrylink.standins.leased_backend import (
+    FakeBackendOwner,
     FakeLeasedBackend,
     find_tasks_with_overlapping_runs,
 )
@@ -213,7 +214,11 @@
         async with trio.open_nursery() as nursery:
             server = FakeLeasedBackend("tank-1", nursery, seed=seed)
             client = LeasedBackendClient(
-                server, 5, LeaseSettings(), Metrics("agent", "tank-1"), lambda: None
+                server,
+                5,
+                LeaseSettings(),
+                Metrics("agent", "tank-1"),
+                FakeBackendOwner(),
             )
             nursery.start_soon(server.advance_runs)
             nursery.start_soon(client.run_background)
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -1,7 +1,5 @@
 """Runs under a lease: late requests, silence, earlier incarnations, stalls."""
 
-import math
-
 import pytest
 import trio
 
@@ -11,6 +9,7 @@
 from gooseberrylink.metrics import Metrics
 from gooseberrylink.peers.messages import Status
 from gooseberrylink.standins.leased_backend import (
+    FakeBackendOwner,
     FakeLeasedBackend,
     find_tasks_with_overlapping_runs,
 )
@@ -41,7 +40,7 @@
 def make_backend_client(backend_server, fencing_token: int = 5) -> LeasedBackendClient:
     metrics = Metrics("agent", "tank-1")
     return LeasedBackendClient(
-        backend_server, fencing_token, LeaseSettings(), metrics, lambda: None
+        backend_server, fencing_token, LeaseSettings(), metrics, FakeBackendOwner()
     )
 
 
@@ -279,7 +278,9 @@
     async def test(backend_server, client, nursery):
         await wait_until_open(client)
         openness = []
-        client._on_availability_change = lambda: openness.append(client.is_open)
+        client._owner.handle_availability_change = lambda: openness.append(
+            client.is_open
+        )
         client.mark_lost("other_incarnation")
         assert openness == [False]
 
@@ -620,20 +621,19 @@
     async def main():
         async with trio.open_nursery() as nursery:
             backend_server = BackendWithNewClock("tank-1", nursery)
-            lease_limit_s = math.inf
+            owner = FakeBackendOwner()
             client = LeasedBackendClient(
                 backend_server,
                 5,
                 LeaseSettings(),
                 Metrics("agent", "tank-1"),
-                lambda: None,
-                lambda: lease_limit_s,
+                owner,
             )
             nursery.start_soon(backend_server.advance_runs)
             nursery.start_soon(client.run_background)
             await wait_until_open(client)
             await trio.sleep(2.0)
-            lease_limit_s = trio.current_time() - 0.1
+            owner.lease_limit_s = trio.current_time() - 0.1
             backend_server.crash()
             outcome = await run_task(client)
             assert outcome.status is Status.NOT_STARTED
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -408,9 +408,7 @@
     agent.detach_backend("replaced")
     tracker = IncarnationTracker(
         agent,
-        lambda _: LeasedBackendClient(
-            worker, 5, LeaseSettings(), agent.metrics, agent.handle_availability_change
-        ),
+        lambda _: LeasedBackendClient(worker, 5, LeaseSettings(), agent.metrics, agent),
     )
 
     def announce(sequence: int, is_draining: bool) -> None:
