Give each piece of logic that stood twice in this change one place

Found on a second reading of the change; behaviour stays as it is.

- The time for which a lease may last was computed in the client with leases and in the platform's settings: LeaseSettings.max_duration_s.
- The agents of all services were chained in three places of the dispatcher: _all_peers.
- Two methods of the agent looked a running task up by its id: _find_running.
- CrashHistory.record stored a run and its news in two branches.
- Two tests of worker crashes had the same loop that kills agents, two others the same schedule around a killed entry.
Their assertions are unchanged.

--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -536,9 +536,9 @@
         entry may receive the job again.
         """
         now_s = trio.current_time()
-        for record in self._running.values():
+        for record in self._find_running(task_id):
             assign = record.assign
-            if assign.task_id == task_id and assign.task_name:
+            if assign.task_name:
                 lost_run = LostRun(
                     assign.task_name,
                     assign.assignment_id,
@@ -549,13 +549,16 @@
 
     def handle_start_confirmed(self, task_id: str) -> None:
         """Reports to its entry that the backend server has started a task."""
-        for record in self._running.values():
-            if record.assign.task_id == task_id and not record.is_start_confirmed:
+        for record in self._find_running(task_id):
+            if not record.is_start_confirmed:
                 record.is_start_confirmed = True
                 peer = self._find_peer(record)
                 if peer is not None:
                     peer.report_started(record.assignment_id)
 
+    def _find_running(self, task_id: str) -> list[AssignmentRecord]:
+        return [r for r in self._running.values() if r.assign.task_id == task_id]
+
     def started_ids(self, entry_incarnation: str) -> list[str]:
         """Returns an entry's assignments that run after a confirmed start."""
         return [
--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -102,6 +102,10 @@
     max_stall_s: float = 0.4
     margin_s: float = 0.05
 
+    def max_duration_s(self, lease_s: float) -> float:
+        """Returns how long a lease may last on this host's clock."""
+        return lease_s * (1 + MAX_CLOCK_DRIFT) + self.margin_s
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Run:
@@ -651,7 +655,7 @@
 
     def _record_lease_end(self, lease_s: float) -> None:
         """Records when a lease has certainly ended; an earlier one may end later."""
-        duration_s = lease_s * (1 + MAX_CLOCK_DRIFT) + self._settings.margin_s
+        duration_s = self._settings.max_duration_s(lease_s)
         self._lease_end_s = max(self._lease_end_s, trio.current_time() + duration_s)
 
 
--- a/gooseberrylink/crash_history.py
+++ b/gooseberrylink/crash_history.py
@@ -73,18 +73,17 @@
         known = of_task.get(lost_run.assignment_id)
         if known is None:
             self._recorded.append((now_s, lost_run))
-            of_task[lost_run.assignment_id] = lost_run
-            self._news.append((now_s, lost_run.task_name))
-            return True
-        of_task[lost_run.assignment_id] = LostRun(
-            lost_run.task_name,
-            lost_run.assignment_id,
-            known.is_suspect or lost_run.is_suspect,
-            known.is_crash or lost_run.is_crash,
-            known.is_start_unanswered or lost_run.is_start_unanswered,
-        )
-        if of_task[lost_run.assignment_id] == known:
+        else:
+            lost_run = LostRun(
+                lost_run.task_name,
+                lost_run.assignment_id,
+                known.is_suspect or lost_run.is_suspect,
+                known.is_crash or lost_run.is_crash,
+                known.is_start_unanswered or lost_run.is_start_unanswered,
+            )
+        if lost_run == known:
             return False
+        of_task[lost_run.assignment_id] = lost_run
         self._news.append((now_s, lost_run.task_name))
         return True
 
--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -3,6 +3,7 @@
 import itertools
 import math
 import random
+from collections.abc import Iterator
 
 import trio
 
@@ -225,7 +226,7 @@
         if not by_worker:
             return
         # A worker may have changed its service since the assignment.
-        for peer in itertools.chain.from_iterable(p.peers for p in self.pools()):
+        for peer in self._all_peers():
             tasks = by_worker.get(peer.worker)
             if tasks:
                 stop_running = job.request.rerun_policy is not None
@@ -250,6 +251,10 @@
         """Returns the pools of all services."""
         return list(self._pools.values())
 
+    def _all_peers(self) -> Iterator[AgentPeer]:
+        """Returns the agents of all services, connected or not."""
+        return itertools.chain.from_iterable(pool.peers for pool in self.pools())
+
     def move_peer(self, peer: AgentPeer, service: str) -> None:
         """Moves an agent to the pool of the service that it now offers."""
         for pool in self._pools.values():
@@ -382,7 +387,7 @@
         to_share = self.crash_history.to_share(lost_run)
         if not to_share:
             return
-        for peer in itertools.chain.from_iterable(p.peers for p in self.pools()):
+        for peer in self._all_peers():
             if peer is not reporter or len(to_share) > 1:
                 peer.share_lost_runs(to_share)
 
@@ -410,7 +415,7 @@
             self._isolation.record_isolation()
 
     def _is_any_agent_connected(self) -> bool:
-        return any(peer.is_connected for pool in self.pools() for peer in pool.peers)
+        return any(peer.is_connected for peer in self._all_peers())
 
     def _fail_jobs_of_isolation(self) -> None:
         """Fails the jobs that may have been submitted to another entry meanwhile.
--- a/gooseberrylink/platform/common.py
+++ b/gooseberrylink/platform/common.py
@@ -8,7 +8,7 @@
 import trio
 
 from gooseberrylink.asgi import PlainRequest, PlainResponse, make_plain_app
-from gooseberrylink.backends.leased import LEASE_S, MAX_CLOCK_DRIFT, LeaseSettings
+from gooseberrylink.backends.leased import LEASE_S, LeaseSettings
 from gooseberrylink.exceptions import ConfigError
 from gooseberrylink.http_server import serve_http
 from gooseberrylink.logs import configure_logs, log_event
@@ -38,8 +38,8 @@
 # How long runs may outlast the lease of their entry if their agent dies as well.
 MAX_RUN_AFTER_LEASE_S = 0.35
 # Time after an agent's end by which its runs have ended, whichever backend server they
-# are at: the last lease, and the safety margin that clients with leases add to it.
-EARLIER_RUNS_END_S = LEASE_S * (1 + MAX_CLOCK_DRIFT) + LeaseSettings().margin_s
+# are at.
+EARLIER_RUNS_END_S = LeaseSettings().max_duration_s(LEASE_S)
 # Time after an agent's link closed at which entries rerun its tasks.
 RERUN_AFTER_SILENCE_S = ENTRY_LEASE_S + 2 * LEASE_S
 # How much later they rerun those that are not known to have started: workers execute
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -105,10 +105,28 @@
     return [name for worker in workers for name in worker.crashed_by]
 
 
+async def kill_agents_of_crashed_workers(deployment, workers) -> None:
+    while True:
+        await trio.sleep(0.1)
+        for worker in workers:
+            if worker.crashed_by and worker.name in deployment.agents:
+                deployment.kill_agent(worker.name)
+
+
 async def submit_and_discard_answer(entry, job) -> None:
     await entry.submit(job)
 
 
+async def submit_to_killed_entry_and_again(deployment, job, killed_after_s: float):
+    """Kills the first entry while it has a job; returns the answer of the second."""
+    first, second = deployment.entries
+    deployment.start_soon(lambda: submit_and_discard_answer(first, job))
+    await trio.sleep(killed_after_s)
+    await deployment.kill_entry(first)
+    await trio.sleep(RESUBMIT_AFTER_S)
+    return await second.submit(job)
+
+
 async def submit_and_record_code(entry, job, codes) -> None:
     codes[job.job_id] = (await entry.submit(job)).code
 
@@ -160,13 +178,8 @@
     run_deployment_with_leases, killed_after_s
 ):
     async def test(deployment, workers):
-        first, second = deployment.entries
         job = make_job_that_crashes_before_the_reply("a")
-        deployment.start_soon(lambda: submit_and_discard_answer(first, job))
-        await trio.sleep(killed_after_s)
-        await deployment.kill_entry(first)
-        await trio.sleep(RESUBMIT_AFTER_S)
-        answer = await second.submit(job)
+        answer = await submit_to_killed_entry_and_again(deployment, job, killed_after_s)
         assert len(find_crashes(workers)) <= 5
         assert answer.code is Code.WORKERS_CRASHED
 
@@ -276,13 +289,8 @@
     run_deployment_with_leases, killed_after_s
 ):
     async def test(deployment, workers):
-        first, second = deployment.entries
         job = make_crashing_job("a", *[0.1] * 6)
-        deployment.start_soon(lambda: submit_and_discard_answer(first, job))
-        await trio.sleep(killed_after_s)
-        await deployment.kill_entry(first)
-        await trio.sleep(RESUBMIT_AFTER_S)
-        answer = await second.submit(job)
+        answer = await submit_to_killed_entry_and_again(deployment, job, killed_after_s)
         assert len(find_crashes(workers)) <= 3
         assert answer.code is Code.WORKERS_CRASHED
 
@@ -520,14 +528,9 @@
     async def test(deployment, workers):
         (entry,) = deployment.entries
 
-        async def kill_agents_of_crashed_workers():
-            while True:
-                await trio.sleep(0.1)
-                for worker in workers:
-                    if worker.crashed_by and worker.name in deployment.agents:
-                        deployment.kill_agent(worker.name)
-
-        deployment.start_soon(kill_agents_of_crashed_workers)
+        deployment.start_soon(
+            functools.partial(kill_agents_of_crashed_workers, deployment, workers)
+        )
         job = make_crashing_job("a", *[0.1] * 2)
         for _ in range(2):
             await entry.submit(job)
@@ -696,14 +699,9 @@
     # An agent that is killed reports no loss, and the entry that counted its tasks as
     # lost is killed as well.
     async def test(deployment, workers):
-        async def kill_agents_of_crashed_workers():
-            while True:
-                await trio.sleep(0.1)
-                for worker in workers:
-                    if worker.crashed_by and worker.name in deployment.agents:
-                        deployment.kill_agent(worker.name)
-
-        deployment.start_soon(kill_agents_of_crashed_workers)
+        deployment.start_soon(
+            functools.partial(kill_agents_of_crashed_workers, deployment, workers)
+        )
         job = make_crashing_job("a", *[0.1] * 2)
         for entry in list(deployment.entries):
             deployment.start_soon(
