Raise the fencing token by 1 only when a backend server restarts

Callers could see two runs of a task at the same time for about 0.1 s, if a worker had restarted under its id at any time in the life of its agent, and later a start got no reply, the agent was killed and the worker restarted again.

Each restart raised the agent's token by 60 s and more. Tokens are Unix times, so those of the next incarnation of the agent were lower than that of the late start. The worker, which knew no token after its last restart, replied to the new agent, and that proved to entries that no earlier run was left. The start was executed beside the rerun, with a token that the worker accepted.

A start that was requested before the restart has at most the present token, so one that is higher by 1 bars it. The larger steps remain for refused tokens alone.

The new test failed for 4 of 4 delays before.

--- a/gooseberrylink/backends/fencing.py
+++ b/gooseberrylink/backends/fencing.py
@@ -22,7 +22,7 @@
     _increment_ms: int = _FENCING_TOKEN_INCREMENT_MS
 
     def fence(self, sent_value: int) -> None:
-        """Makes the value higher than that of a request without a reply.
+        """Makes the value higher than that of a request that may be executed late.
 
         It increases by 1 only: the next incarnation of the agent, whose token is the
         Unix time, must have a higher one.
--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -526,7 +526,7 @@
         self._record_crash()
         self._last_end_number = 0
         # A higher token fences start requests from before the restart.
-        self._fencing_token.increase()
+        self._fencing_token.fence(self._fencing_token.value)
         for run in list(self._runs.values()):
             if run.started_s is None:
                 run.may_have_run = True
--- a/tests/test_agent_restart.py
+++ b/tests/test_agent_restart.py
@@ -321,3 +321,30 @@
         assert codes == [Code.OK]
 
     run_with_platform_settings(test)
+
+
+@pytest.mark.parametrize("late_s", [2.0, 2.5, 3.0, 3.5])
+def test_late_start_of_an_agent_whose_worker_had_restarted_is_fenced_by_the_next_agent(
+    run_with_platform_settings, late_s
+):
+    # The tokens of the earlier agent had run ahead of the clock, and the worker, which
+    # restarts again, knows none of them.
+    async def test(deployment, workers, add_agent):
+        worker, other_worker = workers
+        worker.crash()
+        await trio.sleep(1.0)
+        worker.execution_delay_s = late_s
+        codes = start_submitting(deployment, make_job("a", 4.0))
+        await trio.sleep(0.05)
+        deployment.kill_agent("tank-1")
+        worker.execution_delay_s = 0.0
+        worker.crash()
+        await add_agent(other_worker)
+        await trio.sleep(0.5)
+        # Fencing tokens are the time in milliseconds.
+        await add_agent(worker, fencing_token=1 + round(1000 * trio.current_time()))
+        await trio.sleep(8.0)
+        assert find_tasks_with_overlapping_runs(workers) == []
+        assert codes == [Code.OK]
+
+    run_with_platform_settings(test)
