Refuse a job that is sent again while a start of it may take effect

Callers could see two runs of a task at the same time. A start got no reply, its agent was killed or cut off, and the job was sent again: because the caller's connection broke, the job expired, or its entry died. Only the entry that had assigned the task knew of the start, and it does not look at earlier submissions, either. The task was started at another worker, and the first one executed the late start beside it.

The entry that loses an agent now tells the others, through its other agents, which of its starts there are not known as confirmed. Ruled out: to hold the job (see docs/DESIGN.md).

It does not cover an entry that ends or freezes before it notices that the agent is away: nobody knows of the start then.

--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -329,6 +329,10 @@
         peer.quarantined_share = frame.quarantined_share
         self._aggregate_customer_demands(peer, frame.customer_demands_per_s, now_s)
         self._pass_on_lost_runs(peer, frame.lost_runs, now_s)
+        if frame.unconfirmed_starts:
+            for other_peer in self._peers.values():
+                if other_peer is not peer:
+                    other_peer.pass_on_unconfirmed_starts(frame.unconfirmed_starts)
         for item in frame.items:
             match item:
                 case Assign():
--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -5,17 +5,25 @@
 import random
 from collections.abc import Iterator
 
+import msgspec
 import trio
 
 from gooseberrylink.admission import Admission
 from gooseberrylink.codes import CANCELLED_CODES, EXPIRED_CODES, Code
 from gooseberrylink.crash_history import MAX_LOST_RUNS_AT_ENTRY, CrashHistory
+from gooseberrylink.exceptions import RefusedError
 from gooseberrylink.isolation import IsolationMonitor
 from gooseberrylink.logs import log_event
 from gooseberrylink.metrics import Metrics
 from gooseberrylink.operators.configuration import Configuration
 from gooseberrylink.peers.agent_peer import AgentPeer, AssignHints
-from gooseberrylink.peers.messages import LostRun, Result, Status
+from gooseberrylink.peers.messages import (
+    AgentHello,
+    LostRun,
+    Result,
+    Status,
+    UnconfirmedStart,
+)
 from gooseberrylink.quotas import Quotas
 from gooseberrylink.retry_budget import RetryBudget
 from gooseberrylink.routing import make_policy, remote_factor
@@ -25,6 +33,7 @@
 from gooseberrylink.success_rates import CustomerSuccessRates
 from gooseberrylink.suspension import SuspensionMonitor
 from gooseberrylink.types import Answer, Job, JobRequest, Task, TaskState
+from gooseberrylink.unconfirmed_starts import UnconfirmedStarts
 
 _MAX_RETRY_BUDGET = 50.0
 _RETRY_BACKOFF_S = 0.05
@@ -43,6 +52,9 @@
 # A queue that is not empty for longer is stalled: most tasks are shorter than this, so
 # their results would have freed slots by then.
 _QUEUE_STALLED_S = 1.0
+# An agent that was killed or frozen is usually back within seconds, long before a late
+# start can be ruled out without it.
+_MAX_RETRY_AFTER_PENDING_S = 2.0
 # Tasks whose numbers one log line lists.
 _MAX_LOGGED_TASKS = 16
 
@@ -92,6 +104,10 @@
         self._leases_end_s: dict[AgentPeer, float] = {}
         # The same for their starts without a known confirmation, which may be late.
         self._late_starts_end_s: dict[AgentPeer, float] = {}
+        # Starts of all entries whose agents are away; and those of this entry alone,
+        # with the times by which they can have no effect.
+        self._unconfirmed_starts = UnconfirmedStarts()
+        self._announced_starts: dict[str, tuple[UnconfirmedStart, float]] = {}
         # An entry that was suspended for longer than its leases may have jobs that
         # their callers have submitted to other entries.
         self._suspension = SuspensionMonitor(settings.lease_s)
@@ -130,6 +146,7 @@
         pool = self._pools.get(request.service) or ServicePool(request.service)
         pool.min_slowdown = self._policy.min_slowdown(pool.peers)
         time_left_s = self.shutdown_deadline_s - now_s
+        self._check_unconfirmed_starts(request, now_s)
         self._admission.check(
             request, pool, entry_count, now_s, self.is_draining, time_left_s
         )
@@ -148,6 +165,18 @@
             pool.record_task_units(spec.resources.units)
         return job
 
+    def _check_unconfirmed_starts(self, request: JobRequest, now_s: float) -> None:
+        """Refuses a job of which an earlier submission may still start a task."""
+        names = [task.name for task in request.tasks]
+        left_s = self._unconfirmed_starts.left_s(names, now_s)
+        if left_s > 0:
+            raise RefusedError(
+                Code.EARLIER_START_PENDING,
+                "a task of an earlier submission may still start, at a worker whose"
+                f" agent is away, within the next {left_s:.1f} s",
+                min(left_s, _MAX_RETRY_AFTER_PENDING_S),
+            )
+
     async def run_job(self, job: Job) -> Answer:
         """Runs an admitted job; returns all its results, or one code."""
         pool = self.pool(job.request.service)
@@ -347,7 +376,7 @@
         Returns:
             Whether the job allows reruns.
         """
-        self._remove_in_flight(peer, task)
+        self._remove_in_flight(peer, task, delay_s)
         task.state = TaskState.UNKNOWN
         self._metrics.add("tasks_in_doubt", reason)
         self._record_loss_in_silence(task)
@@ -453,6 +482,7 @@
             self._leases_end_s[peer] = (
                 trio.current_time() + self.settings.rerun_after_silence_s
             )
+            self._announce_unconfirmed_starts(peer)
 
     def _reclaim_tasks_with_expired_leases(self) -> None:
         """Reruns tasks of disconnected agents whose leases have expired.
@@ -475,6 +505,83 @@
                 if task.job.request.rerun_policy is not None:
                     self._reclaim_task(peer, task, "leases_over")
 
+    def _announce_unconfirmed_starts(self, peer: AgentPeer) -> None:
+        """Tells all entries which starts may take effect while an agent is away.
+
+        Each of these jobs may be submitted to another entry before.
+        """
+        if not self.settings.max_late_start_s:
+            return
+        left_s = self.settings.rerun_after_silence_s + self.settings.max_late_start_s
+        starts = [
+            UnconfirmedStart(
+                task.spec.name,
+                task.assignment_id,
+                peer.worker,
+                peer.incarnation,
+                left_s,
+            )
+            for task in peer.tasks_in_flight.values()
+            if task.spec.name
+            and task.job.request.rerun_policy is not None
+            and not task.is_start_confirmed
+        ]
+        if starts:
+            log_event(
+                "starts_unconfirmed",
+                worker=peer.worker,
+                tasks=",".join(s.task_name for s in starts[:_MAX_LOGGED_TASKS]),
+            )
+            self._share_unconfirmed_starts(starts)
+
+    def withdraw_announced_start(self, assignment_id: str, left_s: float = 0.0) -> None:
+        """Tells all entries that a start was confirmed or can no longer take effect.
+
+        Args:
+            assignment_id: The assignment; others than announced ones are ignored.
+            left_s: Time after which it can take no effect.
+        """
+        announced = self._announced_starts.pop(assignment_id, None)
+        if announced is not None:
+            start = msgspec.structs.replace(announced[0], left_s=left_s)
+            self._share_unconfirmed_starts([start])
+
+    def _share_unconfirmed_starts(self, starts: list[UnconfirmedStart]) -> None:
+        now_s = trio.current_time()
+        for start in starts:
+            self._unconfirmed_starts.record(start, now_s)
+            if start.left_s > 0:
+                end_s = now_s + start.left_s
+                self._announced_starts[start.assignment_id] = (start, end_s)
+        for peer in self._all_peers():
+            peer.share_unconfirmed_starts(starts)
+
+    def announced_starts(self) -> list[UnconfirmedStart]:
+        """Returns this entry's starts that may take effect while agents are away."""
+        now_s = trio.current_time()
+        self._announced_starts = {
+            assignment_id: (start, end_s)
+            for assignment_id, (start, end_s) in self._announced_starts.items()
+            if end_s > now_s
+        }
+        return [
+            msgspec.structs.replace(start, left_s=end_s - now_s)
+            for start, end_s in self._announced_starts.values()
+        ]
+
+    def shorten_waits_for_starts(self, hello: AgentHello) -> None:
+        """Waits no longer for earlier starts of a restarted agent than it says."""
+        self._unconfirmed_starts.handle_agent_restart(
+            hello.worker,
+            hello.incarnation,
+            hello.earlier_runs_left_s,
+            trio.current_time(),
+        )
+
+    def record_unconfirmed_start(self, start: UnconfirmedStart) -> None:
+        """Records a start of another entry; see EntryFrame."""
+        self._unconfirmed_starts.record(start, trio.current_time())
+
     def _rerun(self, task: Task, reason: str) -> bool:
         """Queues a task again whose last run has certainly ended.
 
@@ -506,8 +613,12 @@
             self._requeue(task)
         return True
 
-    def _remove_in_flight(self, peer: AgentPeer, task: Task) -> None:
+    def _remove_in_flight(
+        self, peer: AgentPeer, task: Task, delay_s: float = 0.0
+    ) -> None:
+        """Removes a task that has ended, or will have ended after a delay."""
         peer.remove_in_flight(task)
+        self.withdraw_announced_start(task.assignment_id, delay_s)
         self.pool(task.job.request.service).in_flight_count -= 1
 
     def _handle_finished_run(self, peer: AgentPeer, task: Task, result: Result) -> None:
--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -22,6 +22,7 @@
     LostRun,
     Result,
     Revoke,
+    UnconfirmedStart,
     decode_at_entry,
     encode,
 )
@@ -29,6 +30,7 @@
 from gooseberrylink.peers.session import Session
 from gooseberrylink.resources import NO_RESOURCES, Resources
 from gooseberrylink.types import Task
+from gooseberrylink.unconfirmed_starts import MAX_STARTS_A_FRAME
 
 if TYPE_CHECKING:
     from gooseberrylink.entry import Entry
@@ -114,6 +116,9 @@
         self._unsent_lost_runs: collections.deque[LostRun] = collections.deque(
             maxlen=MAX_LOST_RUNS_A_FRAME
         )
+        self._unsent_starts: collections.deque[UnconfirmedStart] = collections.deque(
+            maxlen=MAX_STARTS_A_FRAME
+        )
         self.config_version = 0
 
     @property
@@ -239,6 +244,15 @@
             self._unsent_lost_runs.extend(lost_runs)
             self.outbox.wake_sender()
 
+    def share_unconfirmed_starts(self, starts: list[UnconfirmedStart]) -> None:
+        """Sends unconfirmed starts with the next frame, for the agent's other entries.
+
+        They are repeated on each new link until they can have no effect.
+        """
+        if self.is_connected:
+            self._unsent_starts.extend(starts)
+            self.outbox.wake_sender()
+
     async def serve(self, link: Link, hello: AgentHello) -> None:
         """Serves a new link until it closes; an earlier link is closed first.
 
@@ -268,7 +282,9 @@
         if not is_same_incarnation:
             self._pending_acks.clear()
             self._earlier_incarnations.append(self.incarnation)
-            self._entry.dispatcher.handle_agent_restart(self, hello.earlier_runs_left_s)
+            dispatcher = self._entry.dispatcher
+            dispatcher.shorten_waits_for_starts(hello)
+            dispatcher.handle_agent_restart(self, hello.earlier_runs_left_s)
         self._session = session
         self.outbox = session.outbox
         self.incarnation = hello.incarnation
@@ -285,6 +301,8 @@
         session.record_peer_config_version(hello.config_version)
         self.advertised_demand = 0
         self._repeat_lost_runs()
+        self._unsent_starts.clear()
+        self.share_unconfirmed_starts(self._entry.dispatcher.announced_starts())
         log_event(
             "agent_connected",
             worker=self.worker,
@@ -384,9 +402,12 @@
         self.config_version = frame.config_version
         for lost_run in frame.lost_runs:
             self._entry.dispatcher.record_lost_run(lost_run, reporter=self)
+        for start in frame.unconfirmed_starts:
+            self._entry.dispatcher.record_unconfirmed_start(start)
         for assignment_id in frame.started_ids:
             if assignment_id in self.tasks_in_flight:
                 self.tasks_in_flight[assignment_id].is_start_confirmed = True
+                self._entry.dispatcher.withdraw_announced_start(assignment_id)
         for item in frame.items:
             match item:
                 case Result():
@@ -440,6 +461,8 @@
         self.set_advertised_demand(demand + demand_long, now_s)
         lost_runs = list(self._unsent_lost_runs)
         self._unsent_lost_runs.clear()
+        unconfirmed_starts = list(self._unsent_starts)
+        self._unsent_starts.clear()
         return EntryFrame(
             sent_s=self._agent_clock_s + now_s - self.last_frame_s,
             demand=demand,
@@ -451,4 +474,5 @@
             customer_demands_per_s=demands,
             items=items,
             lost_runs=lost_runs,
+            unconfirmed_starts=unconfirmed_starts,
         )
--- a/gooseberrylink/peers/entry_peer.py
+++ b/gooseberrylink/peers/entry_peer.py
@@ -17,11 +17,13 @@
     LostRun,
     Result,
     Status,
+    UnconfirmedStart,
     decode_at_agent,
     encode,
 )
 from gooseberrylink.peers.outbox import Outbox
 from gooseberrylink.peers.session import Session
+from gooseberrylink.unconfirmed_starts import MAX_STARTS_A_FRAME
 
 if TYPE_CHECKING:
     from gooseberrylink.agent import Agent
@@ -63,6 +65,9 @@
             maxlen=MAX_LOST_RUNS_A_FRAME
         )
         self._unsent_started_ids: list[str] = []
+        self._unsent_starts: collections.deque[UnconfirmedStart] = collections.deque(
+            maxlen=MAX_STARTS_A_FRAME
+        )
         self._has_failed = False
 
     @property
@@ -147,6 +152,7 @@
             self._agent.crash_history.recent(trio.current_time())
         )
         self._unsent_started_ids = self._agent.started_ids(self.incarnation)
+        self._unsent_starts.clear()
         log_event("entry_connected", entry=hello.entry, address=self.address)
         self._agent.handle_entry_connected(self)
         # The old link may have lost results or their acknowledgements.
@@ -181,6 +187,12 @@
         if self.is_connected:
             self._unsent_started_ids.append(assignment_id)
 
+    def pass_on_unconfirmed_starts(self, starts: list[UnconfirmedStart]) -> None:
+        """Sends another entry's unconfirmed starts with the next frame."""
+        if self.is_connected:
+            self._unsent_starts.extend(starts)
+            self.outbox.wake_sender()
+
     def count_received_units(self, units: int) -> None:
         """Counts the units of a received assignment.
 
@@ -217,6 +229,8 @@
         lost_runs = list(self._unsent_lost_runs)
         self._unsent_lost_runs.clear()
         started_ids, self._unsent_started_ids = self._unsent_started_ids, []
+        unconfirmed_starts = list(self._unsent_starts)
+        self._unsent_starts.clear()
         return AgentFrame(
             clock_s=now_s,
             free_units=free_units,
@@ -236,4 +250,5 @@
             host=host,
             lost_runs=lost_runs,
             started_ids=[i for i in started_ids if agent.is_running(i)],
+            unconfirmed_starts=unconfirmed_starts,
         )
--- a/gooseberrylink/peers/messages.py
+++ b/gooseberrylink/peers/messages.py
@@ -169,6 +169,24 @@
     is_start_unanswered: bool = False
 
 
+class UnconfirmedStart(msgspec.Struct, array_like=True, frozen=True):
+    """A start without a known confirmation whose agent is away.
+
+    Attributes:
+        task_name: See Assign.
+        assignment_id: Identifies the assignment.
+        worker: Worker of the agent.
+        incarnation: Incarnation of the agent that was to start the task.
+        left_s: Time for which it may still take effect; 0 if it no longer can.
+    """
+
+    task_name: str
+    assignment_id: str
+    worker: str
+    incarnation: str
+    left_s: float
+
+
 class ConfigUpdate(msgspec.Struct, tag="c", array_like=True):
     """Carries an accepted configuration to a peer that has an older one.
 
@@ -198,6 +216,8 @@
             agent sums up the demand of all entries are included.
         lost_runs: Lost runs that concern all entries and are new to this one. The
             agent reports those that it did not know to its other entries.
+        unconfirmed_starts: Starts of this entry that may take effect late, or no
+            longer can. The agent passes them on to its other entries.
     """
 
     sent_s: float
@@ -210,6 +230,7 @@
     customer_demands_per_s: dict[str, float] = {}
     items: list[Assign | Revoke | Ack | ConfigUpdate] = []
     lost_runs: list[LostRun] = []
+    unconfirmed_starts: list[UnconfirmedStart] = []
 
 
 class AgentFrame(msgspec.Struct, tag="af", array_like=True):
@@ -238,6 +259,7 @@
             that were not sent on this link yet.
         started_ids: Ids of this entry's assignments that are running and whose start
             the backend server has confirmed, each once on a link.
+        unconfirmed_starts: Those that other entries sent; see EntryFrame.
     """
 
     clock_s: float
@@ -258,6 +280,7 @@
     host: Host | None = None
     lost_runs: list[LostRun] = []
     started_ids: list[str] = []
+    unconfirmed_starts: list[UnconfirmedStart] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
--- /dev/null
+++ b/gooseberrylink/unconfirmed_starts.py
@@ -0,0 +1,70 @@
+"""Remembers starts that may still take effect although their agents are away.
+
+A backend server may execute a start without a reply seconds later. If the agent that
+requested it is killed, frozen or cut off, nothing stops that run, and the job may
+meanwhile be submitted again. The entry that assigned the task therefore tells the other
+entries through its agents; none accepts the job before the start can have no effect.
+"""
+
+import collections
+from collections.abc import Iterable
+
+from gooseberrylink.peers.messages import UnconfirmedStart
+
+# Starts that wait for one link at most. If there are more, the oldest are left out.
+MAX_STARTS_A_FRAME = 1000
+# A rack of a large site can lose a thousand at once.
+_MAX_STARTS = 10_000
+
+
+class UnconfirmedStarts:
+    """The starts of all entries that may still take effect, by task."""
+
+    def __init__(self):
+        # Starts with the times by which they can have no effect, by assignment.
+        self._recorded: collections.OrderedDict[str, tuple[UnconfirmedStart, float]] = (
+            collections.OrderedDict()
+        )
+        self._ids_by_task: dict[str, set[str]] = {}
+
+    def record(self, start: UnconfirmedStart, now_s: float) -> None:
+        """Adds a start, or changes the time by which it can have no effect."""
+        self._forget_old(now_s)
+        self._recorded[start.assignment_id] = (start, now_s + start.left_s)
+        self._ids_by_task.setdefault(start.task_name, set()).add(start.assignment_id)
+
+    def handle_agent_restart(
+        self, worker: str, incarnation: str, left_s: float, now_s: float
+    ) -> None:
+        """Shortens the wait for the starts of an agent's earlier incarnations.
+
+        Args:
+            worker: Worker of the agent.
+            incarnation: Its present incarnation.
+            left_s: Time after which runs of earlier ones have ended.
+            now_s: Time on the entry's clock.
+        """
+        for assignment_id, (start, end_s) in self._recorded.items():
+            if start.worker == worker and start.incarnation != incarnation:
+                end_s = min(end_s, now_s + left_s)
+                self._recorded[assignment_id] = (start, end_s)
+
+    def left_s(self, task_names: Iterable[str], now_s: float) -> float:
+        """Returns how long a start of any of these tasks may still take effect."""
+        ends_s = [
+            self._recorded[assignment_id][1]
+            for task_name in task_names
+            for assignment_id in self._ids_by_task.get(task_name, ())
+        ]
+        return max(0.0, max(ends_s, default=now_s) - now_s)
+
+    def _forget_old(self, now_s: float) -> None:
+        while self._recorded:
+            assignment_id, (start, end_s) = next(iter(self._recorded.items()))
+            if end_s > now_s and len(self._recorded) < _MAX_STARTS:
+                return
+            del self._recorded[assignment_id]
+            of_task = self._ids_by_task[start.task_name]
+            of_task.remove(assignment_id)
+            if not of_task:
+                del self._ids_by_task[start.task_name]
--- a/tests/test_agent_restart.py
+++ b/tests/test_agent_restart.py
@@ -3,8 +3,9 @@
 import pytest
 import trio
 import yaml
-from test_reruns import make_job
+from test_reruns import RESUBMIT_AFTER_S, make_job
 from test_startup import PLATFORM_SETTINGS
+from test_withdrawn_jobs import Caller
 
 from gooseberrylink.backends.client import Announcement
 from gooseberrylink.codes import Code
@@ -15,6 +16,7 @@
     FakeLeasedBackend,
     find_tasks_with_overlapping_runs,
 )
+from gooseberrylink.types import Answer, JobRequest
 
 # A task's only start request is executed this late. With the lease that it carries, its
 # run ends 2.4 s after the request, before entries rerun tasks of a silent agent.
@@ -22,6 +24,8 @@
 LEASE_MS = 900
 # Time after which an entry closes a silent link and has checked which leases are over.
 MAX_SILENCE_S = 1.25
+# Longest Retry-After, and the time until the runs of an agent's predecessor have ended.
+MAX_REFUSED_AFTER_RETURN_S = 3.0
 
 
 class BackendWithLateLeases(FakeLeasedBackend):
@@ -152,7 +156,7 @@
 
 @pytest.fixture
 def run_with_platform_settings(run_on_deployment, platform_settings):
-    """Returns a function that runs a test on one entry and two workers.
+    """Returns a function that runs a test on one or more entries and two workers.
 
     The second worker has no agent until the test adds it.
     """
@@ -164,10 +168,11 @@
         exclude={"worker", "data_centre", "entries"}
     )
 
-    def run(test):
+    def run(test, entry_count: int = 1):
         async def main(deployment):
             async with trio.open_nursery() as nursery:
-                await deployment.add_entry("entry-1", **entry_settings)
+                for number in range(1, entry_count + 1):
+                    await deployment.add_entry(f"entry-{number}", **entry_settings)
                 workers = [FakeLeasedBackend(f"tank-{n}", nursery) for n in (1, 2)]
                 for worker in workers:
                     worker.counts_lease_from_arrival = True
@@ -348,3 +353,79 @@
         assert codes == [Code.OK]
 
     run_with_platform_settings(test)
+
+
+def make_named_job(label: str, *run_s: float, **fields) -> JobRequest:
+    job = make_job(label, *run_s, **fields)
+    for task in job.tasks:
+        task.name = task.payload["name"]
+    return job
+
+
+async def submit_until_accepted(entry, job) -> Answer:
+    """Submits a job, again after each refusal once its Retry-After has passed."""
+    while True:
+        answer = await entry.submit(job)
+        if answer.retry_after_s is None:
+            return answer
+        await trio.sleep(answer.retry_after_s)
+
+
+@pytest.mark.parametrize("late_s", [2.0, 3.0, 4.5])
+@pytest.mark.parametrize(
+    ("how", "is_same_entry"),
+    [
+        ("caller_left", False),
+        ("caller_left", True),
+        ("expired", False),
+        ("expired", True),
+        ("entry_killed", False),
+    ],
+)
+@pytest.mark.parametrize("fault", ["agent_killed", "agent_silent"])
+def test_job_sent_again_waits_for_the_agent_of_a_start_without_reply(
+    run_with_platform_settings, fault, how, is_same_entry, late_s
+):
+    # The other entry started the task at once, and the worker the first run later.
+    async def test(deployment, workers, add_agent):
+        worker, other_worker = workers
+        first, second = deployment.entries
+        worker.execution_delay_s = late_s
+        deadline_s = 1.6 if how == "expired" else 20.0
+        caller = Caller(first)
+        deployment.start_soon(
+            lambda: caller.submit(make_named_job("a", 4.0, deadline_s=deadline_s))
+        )
+        await trio.sleep(0.05)
+        lost_s = trio.current_time()
+        if fault == "agent_silent":
+            deployment.network.partition("tank-1")
+        deployment.kill_agent("tank-1")
+        worker.execution_delay_s = 0.0
+        await add_agent(other_worker)
+        await trio.sleep_until(lost_s + 1.6)
+        if how == "caller_left":
+            caller.disconnect()
+        elif how == "entry_killed":
+            await deployment.kill_entry(first)
+        await trio.sleep(RESUBMIT_AFTER_S)
+        answers = []
+
+        async def submit_again():
+            entry = first if is_same_entry else second
+            job = make_named_job("a", 4.0, deadline_s=20.0)
+            answers.append(await submit_until_accepted(entry, job))
+
+        deployment.start_soon(submit_again)
+        await trio.sleep_until(lost_s + 5.5)
+        deployment.network.heal("tank-1")
+        token = 1 + round(1000 * trio.current_time())
+        await add_agent(worker, fencing_token=token)
+        back_s = trio.current_time()
+        await trio.sleep(12.0)
+        assert find_tasks_with_overlapping_runs(workers) == []
+        assert [answer.code for answer in answers] == [Code.OK]
+        last_run = max(workers[0].runs + workers[1].runs, key=lambda r: r.started_s)
+        assert last_run.started_s < back_s + MAX_REFUSED_AFTER_RETURN_S
+
+    run_with_platform_settings(test, entry_count=2)
