Ask a restarted backend server for its runs as soon as it announces itself

Callers could see two runs of a task at the same time for up to 0.3 s. A start got no reply, its stop was confirmed and the task ran elsewhere; then the worker crashed and was back under its id just before it executed the start. It knew neither the stop nor a fencing token until the agent's next request, which waited for the time-out of a request to the earlier incarnation.

The heartbeat of the new incarnation now ends that wait, and the next request follows at once. A request that was broken off counts as one without a reply: its lease is recorded, and its token is raised.

Without the heartbeat, the late start still runs until the next request. The tracker's fake client in test_platform.py takes the start time as an argument, like the real one.

--- a/gooseberrylink/backends/incarnations.py
+++ b/gooseberrylink/backends/incarnations.py
@@ -165,7 +165,7 @@
     ) -> None:
         self._record_earlier(current.announcement)
         current.announcement, current.sequence = announcement, sequence
-        current.backend.reconfirm_incarnation()
+        current.backend.reconfirm_incarnation(announcement.born_ms)
         log_event(
             "backend_reannounced",
             incarnation=announcement.incarnation,
--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -201,6 +201,7 @@
         self._born_ms = 0
         self._confirmed_born_ms: int | None = None
         self._confirm_after_s = -math.inf
+        self._renewal_scope = trio.CancelScope()
         self._last_reply_s = trio.current_time()
         self._last_sign_of_life_s = -math.inf
         self._lease_end_s = 0.0
@@ -241,10 +242,19 @@
         for run in list(self._runs.values()):
             self._finish(run, EndKind.LOST)
 
-    def reconfirm_incarnation(self) -> None:
-        """Lets only replies to requests from now on set confirmed_born_ms."""
+    def reconfirm_incarnation(self, born_ms: int) -> None:
+        """Lets only replies to requests from now on set confirmed_born_ms.
+
+        An incarnation that has not replied yet gets a request at once, whose fencing
+        token bars late starts. One to the earlier incarnation may still be waiting.
+
+        Args:
+            born_ms: Start time of the incarnation that announced itself.
+        """
         self._confirmed_born_ms = None
         self._confirm_after_s = trio.current_time()
+        if born_ms != self._born_ms:
+            self._renewal_scope.cancel()
 
     @property
     def confirmed_born_ms(self) -> int | None:
@@ -470,7 +480,9 @@
         renewal = LeaseRenewal(
             self._fencing_token.value, self._last_end_number, lease_end_ms, wait_s
         )
-        report = await self._client.renew(renewal)
+        report = ControlReply.UNANSWERED
+        with trio.CancelScope() as self._renewal_scope:
+            report = await self._client.renew(renewal)
         if isinstance(report, RunReport):
             self._last_reply_s = self._last_sign_of_life_s = trio.current_time()
             if not self._is_responsive and report.born_ms == self._born_ms:
@@ -487,7 +499,9 @@
         elif report is ControlReply.OTHER_INCARNATION:
             self.mark_lost("other_incarnation")
         self._end_lapsed()
-        await trio.sleep(settings.retry_s)
+        if not self._renewal_scope.cancelled_caught:
+            with trio.CancelScope() as self._renewal_scope:
+                await trio.sleep(settings.retry_s)
 
     def _apply_report(self, report: RunReport, report_requested_s: float) -> None:
         self._backend_clock_ms, self._clock_read_s = (
--- a/tests/test_agent_restart.py
+++ b/tests/test_agent_restart.py
@@ -24,6 +24,8 @@
 LEASE_MS = 900
 # Time after which an entry closes a silent link and has checked which leases are over.
 MAX_SILENCE_S = 1.25
+# A start that gets no reply, and whose stop is confirmed, is executed this late.
+LATE_START_S = 3.0
 # Longest Retry-After, and the time until the runs of an agent's predecessor have ended.
 MAX_REFUSED_AFTER_RETURN_S = 3.0
 
@@ -429,3 +431,63 @@
         assert last_run.started_s < back_s + MAX_REFUSED_AFTER_RETURN_S
 
     run_with_platform_settings(test, entry_count=2)
+
+
+def announce(deployment, worker, units: int, born_ms: int = 0) -> None:
+    """Delivers a heartbeat of a worker; the first one had no start time."""
+    announcement = Announcement("dispatch", "fake:1", units, born_ms=born_ms)
+    deployment.incarnations[worker.name].handle_announcement(announcement, 1, False)
+
+
+async def rerun_after_late_start(deployment, workers, add_agent) -> float:
+    """Submits a job whose start gets no reply, and that reruns at the other worker.
+
+    Returns:
+        When the first worker executes the start, although its stop was confirmed.
+    """
+    worker, other_worker = workers
+    worker.execution_delay_s = LATE_START_S
+    job = make_job("a", 6.0, units=4)
+    deployment.start_soon(lambda: submit_until_accepted(deployment.entries[0], job))
+    executed_s = trio.current_time() + LATE_START_S
+    await trio.sleep(0.02)
+    worker.execution_delay_s = 0.0
+    announce(deployment, worker, units=2)
+    await add_agent(other_worker)
+    await trio.sleep(1.0)
+    assert [len(w.runs) for w in workers] == [0, 1]
+    return executed_s
+
+
+@pytest.mark.parametrize("before_s", [0.01, 0.05, 0.1, 0.15, 0.2, 0.25])
+def test_heartbeat_of_a_restarted_worker_bars_late_starts_at_once(
+    run_with_platform_settings, before_s
+):
+    # A request to the crashed worker was still waiting for its reply.
+    async def test(deployment, workers, add_agent):
+        worker = workers[0]
+        executed_s = await rerun_after_late_start(deployment, workers, add_agent)
+        worker.is_unresponsive = True
+        worker.crash()
+        await trio.sleep_until(executed_s - before_s)
+        worker.is_unresponsive = False
+        announce(deployment, worker, 8, worker.born_ms)
+        await trio.sleep(7.0)
+        assert find_tasks_with_overlapping_runs(workers) == []
+        assert [len(w.runs) for w in workers] == [0, 1]
+
+    run_with_platform_settings(test)
+
+
+def test_task_does_not_run_beside_a_late_start_at_a_worker_that_just_restarted(
+    run_with_platform_settings,
+):
+    # No request from the agent has reached the new incarnation.
+    async def test(deployment, workers, add_agent):
+        executed_s = await rerun_after_late_start(deployment, workers, add_agent)
+        await trio.sleep_until(executed_s - 0.01)
+        workers[0].crash()
+        await trio.sleep(2.0)
+        assert find_tasks_with_overlapping_runs(workers) == []
+
+    run_with_platform_settings(test)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -216,7 +216,7 @@
     def expect_end(self):
         pass
 
-    def reconfirm_incarnation(self):
+    def reconfirm_incarnation(self, born_ms):
         pass
 
 
