Keep the order of an agent's fencing tokens when the clock is set back

An agent makes a client, with a token of its own, for each backend server that replaces another, also for one that drained and is back under its id. The token was the Unix time at that moment. If the clock had been set back since the agent's start, the later client had the lower token, and a late start of the earlier one was not barred by it.

Tokens now advance from the agent's start by the monotonic clock. Not covered: a token that was raised because it had been refused, and a clock that is set back between two incarnations of the agent.

--- a/gooseberrylink/platform/agent_program.py
+++ b/gooseberrylink/platform/agent_program.py
@@ -52,6 +52,8 @@
         self._store = PlatformStore(settings.platform.address)
         self._agent = Agent(_agent_settings(settings), TcpDialer())
         self._stop = trio.Event()
+        self._started_s = trio.current_time()
+        self._started_unix_ms = time.time_ns() // 1_000_000
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """See Daemon."""
@@ -66,7 +68,7 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(agent.run)
             nursery.start_soon(
-                announcement_store.restore, _make_run_client, _make_fencing_token()
+                announcement_store.restore, _make_run_client, self._make_fencing_token()
             )
             nursery.start_soon(announcement_store.run)
             nursery.start_soon(watch_entries, self._store, agent)
@@ -105,23 +107,24 @@
         agent = self._agent
         return LeasedBackendClient(
             client,
-            _make_fencing_token(),
+            self._make_fencing_token(),
             lease,
             agent.metrics,
             agent,
         )
 
+    def _make_fencing_token(self) -> int:
+        """Returns a fencing token that is higher for each later client of the agent.
 
-def _make_run_client(announcement: Announcement) -> PlatformRunClient:
-    return PlatformRunClient(announcement.address, announcement.incarnation)
-
+        It is the Unix time in milliseconds, so no token has to be stored on a disk for
+        the next incarnation of the agent. Within one, the clock may be set back.
+        """
+        elapsed_s = trio.current_time() - self._started_s
+        return self._started_unix_ms + round(1000 * elapsed_s)
 
-def _make_fencing_token() -> int:
-    """Returns a fencing token that is higher for each later incarnation of the agent.
 
-    It is the Unix time in milliseconds, so no token has to be stored on a disk.
-    """
-    return time.time_ns() // 1_000_000
+def _make_run_client(announcement: Announcement) -> PlatformRunClient:
+    return PlatformRunClient(announcement.address, announcement.incarnation)
 
 
 def _agent_settings(settings: Settings) -> AgentSettings:
--- a/tests/test_agent_restart.py
+++ b/tests/test_agent_restart.py
@@ -26,6 +26,8 @@
 MAX_SILENCE_S = 1.25
 # A start that gets no reply, and whose stop is confirmed, is executed this late.
 LATE_START_S = 3.0
+UNIX_TIME_NS = 1_700_000_000 * 10**9
+HOUR_NS = 3600 * 10**9
 # Longest Retry-After, and the time until the runs of an agent's predecessor have ended.
 MAX_REFUSED_AFTER_RETURN_S = 3.0
 
@@ -491,3 +493,31 @@
         assert find_tasks_with_overlapping_runs(workers) == []
 
     run_with_platform_settings(test)
+
+
+def test_later_client_has_a_higher_fencing_token_although_the_clock_was_set_back(
+    run_on_mock_clock, platform_settings, tmp_path, monkeypatch
+):
+    # A worker drained and restarted under its id, so that the agent uses a new client.
+    async def main():
+        async with trio.open_nursery() as nursery:
+            worker = FakeLeasedBackend("tank-1", nursery)
+            monkeypatch.setattr(agent_program, "_make_run_client", lambda _: worker)
+            monkeypatch.setattr(agent_program.time, "time_ns", lambda: UNIX_TIME_NS)
+            program = agent_program.AgentProgram(platform_settings, tmp_path)
+            tokens = []
+            for _ in range(2):
+                client = program._make_backend_client(Announcement("s", "fake:1", 8))
+                nursery.start_soon(client.run_background)
+                await trio.sleep(0.5)
+                client.close()
+                await trio.sleep(0.5)
+                tokens.append(worker.fencing_token)
+                worker.crash()
+                monkeypatch.setattr(
+                    agent_program.time, "time_ns", lambda: UNIX_TIME_NS - HOUR_NS
+                )
+            assert 0 < tokens[0] < tokens[1]
+            nursery.cancel_scope.cancel()
+
+    run_on_mock_clock(main)
