End no runs for a heartbeat that may be late

Callers: a task is started at another worker while its first run goes on (TWICE), for up to the rest of a lease.

Cause: a heartbeat of another id at the address of the known worker marked all runs as lost if its start time was higher, or if the known worker had deregistered. A heartbeat may be delayed by a partition until its sender has crashed and the next one has registered. If nothing was heard of the sender before (it lived behind the partition, or the agent was restarted since), and the clock was set back between the two, or the known worker is leaving, nothing tells it from a newer one.

Fix: the refusal of a request is the proof. A client with runs that is replaced stays closed and goes on with its renewals. If the worker has been replaced, the process at its address refuses the next one (421); else the runs end as they would have. The client of the same incarnation isn't made again while it has runs, as two would stop each other's runs. An id that is used again at another address remains a proof: nothing may answer at the old one.

--- a/gooseberrylink/backends/incarnations.py
+++ b/gooseberrylink/backends/incarnations.py
@@ -69,6 +69,8 @@
         self._earlier: collections.deque[tuple[str, int]] = collections.deque(
             maxlen=_MAX_EARLIER_INCARNATIONS
         )
+        # Clients that were replaced while they had runs.
+        self._replaced: dict[tuple[str, int], LeasedBackendClient] = {}
 
     @property
     def newest_announcement(self) -> Announcement | None:
@@ -206,11 +208,14 @@
 
     def _replace(self, announcement: Announcement, sequence: int) -> None:
         current = self._current
+        if self._has_unended_runs(_identity(announcement)):
+            # A late heartbeat had replaced it. Another client would stop these runs;
+            # the next heartbeat finds them ended.
+            return
         if current is not None:
             self._record_earlier(current.announcement)
             self._agent.detach_backend("replaced")
-            if _has_ended(current.announcement, announcement):
-                current.backend.mark_lost("replaced")
+            self._end_runs_if_proven(current, announcement)
         backend = self._make_backend_client(announcement)
         self._current = _CurrentIncarnation(announcement, backend, sequence)
         log_event(
@@ -223,6 +228,32 @@
         )
         self._agent.attach_backend(backend, announcement)
 
+    def _has_unended_runs(self, identity: tuple[str, int]) -> bool:
+        self._replaced = {
+            replaced: backend
+            for replaced, backend in self._replaced.items()
+            if backend.has_runs and not backend.is_lost
+        }
+        return identity in self._replaced
+
+    def _end_runs_if_proven(
+        self, current: _CurrentIncarnation, newer: Announcement
+    ) -> None:
+        """Marks the runs of a replaced incarnation as lost if they have ended.
+
+        A heartbeat from its address under another id may be late, and older than it.
+        If it is not, the process at this address refuses the next request about the
+        runs.
+        """
+        known = current.announcement
+        if newer.incarnation == known.incarnation:
+            # An id is used again only by a process that was restarted.
+            current.backend.mark_lost("replaced")
+        elif newer.address == known.address and not current.backend.has_runs:
+            current.backend.mark_lost("replaced")
+        else:
+            self._replaced[_identity(known)] = current.backend
+
     def _record_earlier(self, announcement: Announcement) -> None:
         if announcement.born_ms:
             self._earlier.append(_identity(announcement))
@@ -244,12 +275,3 @@
         known.incarnation,
         known.address,
     )
-
-
-def _has_ended(known: Announcement, newer: Announcement) -> bool:
-    """Returns whether a newer incarnation shows that the known one has ended.
-
-    Two processes can't listen on one address, and an id is used again only by a
-    process that was restarted.
-    """
-    return newer.address == known.address or newer.incarnation == known.incarnation
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -374,6 +374,39 @@
     run_tracked(test, ids={995_001: "i-2"})
 
 
+@pytest.mark.parametrize("is_leaving", [False, True])
+def test_late_heartbeat_of_an_unheard_incarnation_ends_no_run(run_tracked, is_leaving):
+    # A worker whose deregistration is not confirmed goes on for some seconds.
+    async def test(server, agent, tracker, nursery):
+        await restart_with_clock_set_back(server)
+        announce(tracker, server, 1, incarnation="i-2")
+        await wait_until_open(agent)
+        reported_ended_s = []
+
+        async def run():
+            outcome = await run_task(agent, run_s=1.0)
+            assert outcome.status is Status.DONE
+            reported_ended_s.append(trio.current_time())
+
+        nursery.start_soon(run)
+        await trio.sleep(0.1)
+        if is_leaving:
+            announce(tracker, server, 2, is_draining=True, incarnation="i-2")
+            tracker.handle_deregistration("i-2")
+        late_born_ms = server.born_ms + (-1 if is_leaving else 1)
+        announce(tracker, server, 9, born_ms=late_born_ms, incarnation="i-unheard")
+        await trio.sleep(0.3)
+        announce(tracker, server, 3, is_leaving, incarnation="i-2")
+        await trio.sleep(2.0)
+        (recorded,) = server.runs
+        assert recorded.ended_s <= reported_ended_s[0]
+        announce(tracker, server, 4, is_leaving, incarnation="i-2")
+        await trio.sleep(0.5)
+        assert agent.backends[-1].is_open != is_leaving
+
+    run_tracked(test, ids={995_001: "i-2"})
+
+
 def test_backend_server_that_left_is_used_after_its_clock_was_set_back(run_tracked):
     # Its closed client requests nothing, so that no reply shows the restart.
     async def test(server, agent, tracker, nursery):
