Extend no runs that are being stopped as those of an earlier agent

Callers: a task has two runs at the same time (TWICE). An entry dies, the agent of one of its tasks is killed after it and is back at once, and the job is sent again 1.3 s after the entry's death.

Cause: a restarted agent stops the runs that its worker lists and that it did not start, with one request for each reply to a renewal, every 0.25 s. It renewed the lease meanwhile, which holds for all runs, and it knows no lease of their entry that would limit it. So the run went on for as long as the requests to stop it were late. The bound of 1.15 s after the entry's death did not hold.

Fix: no lease is requested while the worker lists runs that the agent did not start. They end with the last lease of the earlier incarnation, which keeps that bound. A renewal waits for 0.05 s then, as while runs stall, so that the stop is repeated sooner.

Ruled out: agents that are connected to entries. One that finds such runs does not open, so it gets no tasks, and dials only after 16 s.

--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -83,7 +83,8 @@
         max_silence_s: Time without a reply after which no new run is started.
         hung_s: Time without progress of any run after which the backend server
             counts as hung: no new run is started, and all runs are stopped.
-        wait_while_stalled_s: How long a renewal waits while no run makes progress.
+        wait_while_stalled_s: How long a renewal waits while no run makes progress, or
+            while runs that the agent did not start are being stopped.
         max_stall_s: Time without progress after which a single run is stopped.
             The longest tasks take 15 s, so their progress, which is reported in
             hundredths, rises every 0.15 s.
@@ -208,6 +209,7 @@
         self._is_lost = False
         self._is_leaving = False
         self._has_crashed = False
+        self._has_unknown_runs = False
         self._nursery: trio.Nursery | None = None
 
     async def run_background(self) -> None:
@@ -454,17 +456,19 @@
         wait_s = (
             settings.wait_while_busy_s if self._runs else settings.wait_while_idle_s
         )
-        if self._min_stall_s() > 0:
+        if self._has_unknown_runs or self._min_stall_s() > 0:
             wait_s = settings.wait_while_stalled_s
         # While the backend server does not reply, the lease is not renewed. A
         # renewal might be executed without a reply, and the agent could never be
-        # certain that the lease has ended.
+        # certain that the lease has ended. Nor is it while there are runs that this
+        # agent did not start: it would extend them, and their requests to stop may be
+        # late.
         lease_end_ms = None
         report_requested_s = trio.current_time()
         lease_s = self._next_lease_s()
         if not self._is_responsive:
             wait_s = 0.0
-        elif lease_s > 0:
+        elif lease_s > 0 and not self._has_unknown_runs:
             lease_end_ms = self._to_backend_clock_ms(lease_s)
             self._record_lease_end(lease_s)
         renewal = LeaseRenewal(
@@ -505,11 +509,11 @@
             run = self._runs.get(end.key)
             if run is not None:
                 self._finish(run, end.kind)
-        unknown_runs = self._update_progress(report)
+        self._has_unknown_runs = self._update_progress(report)
         self._stop_stalled()
         if report.is_complete:
             self._end_unlisted(report, report_requested_s)
-        is_healthy = not unknown_runs and not self._is_hung()
+        is_healthy = not self._has_unknown_runs and not self._is_hung()
         self._set_open(is_healthy and not self._is_closed)
 
     def _handle_restart(self, born_ms: int) -> None:
@@ -541,13 +545,13 @@
             self._has_crashed = True
             self._owner.handle_crash()
 
-    def _update_progress(self, report: RunReport) -> int:
+    def _update_progress(self, report: RunReport) -> bool:
         """Updates the progress of runs, and stops runs that this agent did not start.
 
         Returns:
-            How many runs were not started by this agent.
+            Whether there are runs that this agent did not start.
         """
-        unknown_runs = 0
+        has_unknown_runs = False
         for key, progress in report.progress.items():
             run = self._runs.get(key)
             if run is not None:
@@ -557,10 +561,10 @@
                 self._record_started(run, self._last_reply_s)
                 run.progress = progress
                 continue
-            unknown_runs += 1
+            has_unknown_runs = True
             log_event("unknown_run_stopped", run=key.name, attempt=key.attempt)
             self._nursery.start_soon(self._client.stop, key, self._fencing_token.value)
-        return unknown_runs
+        return has_unknown_runs
 
     def _stop_stalled(self) -> None:
         """Stops runs without progress, so that entries can assign them again."""
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -181,6 +181,44 @@
         return ControlReply.UNANSWERED
 
 
+@pytest.mark.parametrize("back_s", [0.05, 0.2, 0.4])
+@pytest.mark.parametrize("delay_s", [0.3, 0.6])
+def test_runs_of_a_dead_entry_are_not_extended_by_the_next_incarnation_of_an_agent(
+    run_on_deployment, delay_s, back_s
+):
+    # Its renewals extended the leases of runs that it was trying to stop.
+    async def test(deployment):
+        async with trio.open_nursery() as nursery:
+            first, second = [
+                await deployment.add_entry(f"entry-{number}", **link_settings())
+                for number in range(2)
+            ]
+            worker = BackendWithLateStops("tank-1", nursery)
+            other_worker = FakeLeasedBackend("tank-2", nursery)
+            workers = [worker, other_worker]
+            for backend in workers:
+                nursery.start_soon(backend.advance_runs)
+            await deployment.add_agent_with_leases(worker, **link_settings())
+            await deployment.wait_connected()
+            job = make_job("a", 4.0, task_count=1)
+            deployment.start_soon(lambda: submit_and_discard_answer(first, job))
+            await trio.sleep(0.3)
+            await deployment.add_agent_with_leases(other_worker, **link_settings())
+            await deployment.kill_entry(first)
+            killed_s = trio.current_time()
+            await trio.sleep(delay_s)
+            deployment.kill_agent(worker.name)
+            await trio.sleep(back_s)
+            await deployment.add_agent_with_leases(worker, 2, **link_settings())
+            await trio.sleep_until(killed_s + RESUBMIT_AFTER_S)
+            answer = await second.submit(make_job("a", 0.2, task_count=1))
+            assert answer.code is Code.OK
+            assert find_tasks_with_overlapping_runs(workers) == []
+            nursery.cancel_scope.cancel()
+
+    run_on_deployment(test)
+
+
 def test_worker_is_not_asked_for_a_second_run_of_a_task_whose_first_goes_on(
     run_on_deployment,
 ):
