Take a hello for news of its agent only once a frame has followed it

Callers: a task runs twice at the same time (TWICE), up to the end of its entry's lease; and the entry refuses the links of the agent for good.

Cause: a hello of another incarnation ended the link of the present one, and its tasks in flight were rerun. A hello may be late: it is lost on a lossy path, the agent is killed, the next incarnation connects, and the kernel transmits the hello again. Only the incarnations that the entry had served before were known as earlier. The present one then counted as earlier, and its links were closed.

Fix: the entry answers a hello first, and takes the new link into use when a frame has followed. Agents send one when they receive the entry's hello, so it shows that its sender was alive after the entry had answered. A link without one is closed after 5 s, and the present link goes on. This also holds for a late hello of the same incarnation.

Costs one round trip for each new link.

--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -8,6 +8,7 @@
 import trio
 
 from gooseberrylink.crash_history import MAX_LOST_RUNS_A_FRAME
+from gooseberrylink.exceptions import LinkClosedError
 from gooseberrylink.logs import log_event
 from gooseberrylink.peers.config_push import decompress_update
 from gooseberrylink.peers.link import Link
@@ -33,6 +34,7 @@
 if TYPE_CHECKING:
     from gooseberrylink.entry import Entry
 
+_FIRST_FRAME_TIMEOUT_S = 5.0
 _MAX_PENDING_ACKS = 64
 _MAX_EARLIER_INCARNATIONS = 16
 # Jobs that one log line names.
@@ -242,10 +244,16 @@
     async def serve(self, link: Link, hello: AgentHello) -> None:
         """Serves a new link until it closes; an earlier link is closed first.
 
-        A link of an earlier incarnation of the agent is closed at once. Its hello was
-        late, and does not prove that the tasks in flight have ended.
+        A hello may be late, and then does not prove that the tasks in flight have
+        ended. The first frame that follows shows that its sender lives: the agent sends
+        it after it has received the entry's hello. A link of an incarnation that is
+        known as earlier is closed.
         """
-        if hello.incarnation in self._earlier_incarnations:
+        first_frame = None
+        if hello.incarnation not in self._earlier_incarnations:
+            first_frame = await self._receive_first_frame(link)
+        # Another incarnation may have connected meanwhile.
+        if first_frame is None or hello.incarnation in self._earlier_incarnations:
             log_event("late_hello_ignored", "WARNING", worker=self.worker)
             link.close()
             return
@@ -255,15 +263,23 @@
         session = Session(link, entry.settings, entry.configuration, entry.random, self)
         self._start_session(session, hello)
         try:
-            await session.run()
+            await session.run(first_frame)
         finally:
             if self._session is session:
                 self._end_session()
             self._entry.dispatcher.handle_link_closed(session.has_timed_out)
 
+    async def _receive_first_frame(self, link: Link) -> bytes | None:
+        """Answers a hello; returns the frame that follows, or None if none does."""
+        link.send(encode(self._entry.make_hello()))
+        try:
+            with trio.fail_after(_FIRST_FRAME_TIMEOUT_S):
+                return await link.receive()
+        except (LinkClosedError, trio.TooSlowError):
+            return None
+
     def _start_session(self, session: Session, hello: AgentHello) -> None:
         self._entry.dispatcher.handle_sign_of_agent()
-        session.link.send(encode(self._entry.make_hello()))
         is_same_incarnation = hello.incarnation == self.incarnation
         if not is_same_incarnation:
             self._pending_acks.clear()
--- a/gooseberrylink/peers/session.py
+++ b/gooseberrylink/peers/session.py
@@ -81,23 +81,29 @@
         self._is_replaced = True
         self.link.close()
 
-    async def run(self) -> None:
-        """Sends and receives until the link closes."""
+    async def run(self, first_frame: bytes | None = None) -> None:
+        """Sends and receives until the link closes.
+
+        Args:
+            first_frame: Frame that was received before, if any; handled first.
+        """
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._send_frames)
                 nursery.start_soon(self._heartbeat.close_when_silent, self.link)
                 nursery.start_soon(self._config_push.run)
-                await self._read_frames()
+                await self._read_frames(first_frame)
                 nursery.cancel_scope.cancel()
         finally:
             self.link.close()
             self._owner.return_unsent(self.outbox.take())
 
-    async def _read_frames(self) -> None:
+    async def _read_frames(self, data: bytes | None) -> None:
         while True:
             try:
-                version = self._owner.handle_frame_data(await self.link.receive())
+                if data is None:
+                    data = await self.link.receive()
+                version = self._owner.handle_frame_data(data)
             except LinkClosedError:
                 return
             except msgspec.MsgspecError as error:
@@ -112,6 +118,7 @@
                     "frame_failed", "ERROR", peer=self._owner.name, error=repr(error)
                 )
                 return
+            data = None
             self._heartbeat.record_frame()
             self.record_peer_config_version(version)
 
--- a/tests/test_withdrawn_jobs.py
+++ b/tests/test_withdrawn_jobs.py
@@ -183,6 +183,18 @@
 SUSPENSION_S = 3.0
 
 
+def make_hello(worker: str, incarnation: str) -> AgentHello:
+    return AgentHello(
+        worker,
+        incarnation,
+        "dc-1",
+        "dispatch",
+        slots=8,
+        clock_s=trio.current_time(),
+        entries=[],
+    )
+
+
 class ScriptedAgent:
     """Connects to an entry, and reports what a test tells it to.
 
@@ -204,19 +216,7 @@
     def connect(self, incarnation: str = "1") -> None:
         self._link, entry_end = open_memory_link()
         self._units_received = 0
-        self._link.send(
-            encode(
-                AgentHello(
-                    self._worker,
-                    incarnation,
-                    "dc-1",
-                    "dispatch",
-                    slots=8,
-                    clock_s=trio.current_time(),
-                    entries=[],
-                )
-            )
-        )
+        self._link.send(encode(make_hello(self._worker, incarnation)))
         self.send()
         self._nursery.start_soon(self._entry.serve_link, entry_end)
         self._nursery.start_soon(self._read_frames, self._link)
@@ -465,3 +465,29 @@
         assert caller.answer.code is Code.OK
 
     run_entry_with_scripted_agents(test)
+
+
+def test_late_hello_of_an_unheard_incarnation_reruns_no_running_task(
+    run_entry_with_scripted_agents,
+):
+    # Its hello was lost at first, it was killed, and the next incarnation connected
+    # before the hello was transmitted again.
+    async def test(nursery, entry, agents):
+        agents[0].connect(incarnation="3")
+        await trio.sleep(0.01)
+        caller = Caller(entry)
+        nursery.start_soon(caller.submit, make_job("a", *[4.0] * 8))
+        await wait_for_assignments(agents[0], 8)
+        report_free_units(agents)
+        late_end, entry_end = open_memory_link()
+        late_end.send(encode(make_hello("tank-1", "2")))
+        nursery.start_soon(entry.serve_link, entry_end)
+        await trio.sleep(0.001)
+        late_end.close()
+        await trio.sleep(0.1)
+        assert agents[1].assigned == []
+        agents[0].end_tasks(Status.DONE)
+        await trio.sleep(0.1)
+        assert caller.answer.code is Code.OK
+
+    run_entry_with_scripted_agents(test)
