Count an entry's leases from the input that it has handled

A caller's disconnect passes through three to four rounds of an entry's event loop before its job is withdrawn (counted with hypercorn on real sockets; the revocation is sent one round later). An entry that gets a tenth of its processor time may need 0.3 s and more for a round. Its heartbeats to agents go out once a round all the while and renew its leases, so the runs went on for over 1.3 s after the disconnect, and overlapped with those of the job sent again to another entry. The suspension monitor notices only silences of more than 0.8 s.

Each frame now states a time that is earlier by the lag of the event loop, over 0.1 s, and leases are counted from it. The lag is the time since the input watermark: a task that passes through five rounds knows that all input that arrived before it began has been handled. So no frame that leaves before a revocation extends a lease beyond 0.9 s after the disconnect, however slow the loop is. An entry that lags by more than half a lease assigns nothing, as agents would soon stop the tasks.

Ruled out: longer rounds than 0.8 s (SuspensionMonitor), and an answer of 5xx that leaves before the revocations, which are queued in the same step.

--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -10,6 +10,7 @@
 from gooseberrylink.admission import Admission
 from gooseberrylink.codes import CANCELLED_CODES, EXPIRED_CODES, Code
 from gooseberrylink.crash_history import MAX_LOST_RUNS_AT_ENTRY, CrashHistory
+from gooseberrylink.input_watermark import InputWatermark
 from gooseberrylink.isolation import IsolationMonitor
 from gooseberrylink.logs import log_event
 from gooseberrylink.metrics import Metrics
@@ -43,6 +44,8 @@
 # A queue that is not empty for longer is stalled: most tasks are shorter than this, so
 # their results would have freed slots by then.
 _QUEUE_STALLED_S = 1.0
+# Lag of the event loop that does not shorten the leases of an entry.
+_TOLERATED_LAG_S = 0.1
 # Tasks whose numbers one log line lists.
 _MAX_LOGGED_TASKS = 16
 
@@ -97,6 +100,7 @@
         self._suspension = SuspensionMonitor(settings.lease_s)
         # So may an entry that was cut off from all agents for that time.
         self._isolation = IsolationMonitor(settings.lease_s)
+        self._watermark = InputWatermark()
         self._nursery: trio.Nursery | None = None
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -108,11 +112,18 @@
             task_status.started()
             while True:
                 tick_s = await self._suspension.wait_for_tick()
+                nursery.start_soon(self._advance_watermark)
                 if self._is_any_agent_connected():
                     self._isolation.count_silence(tick_s)
                 self._reclaim_tasks_with_expired_leases()
                 self._check_queues()
 
+    async def _advance_watermark(self) -> None:
+        was_lagging = self._is_lagging()
+        await self._watermark.advance()
+        if was_lagging and not self._is_lagging():
+            self._check_queues()
+
     # Requests from callers.
 
     def admit(self, request: JobRequest, entry_count: int = 1) -> Job:
@@ -577,9 +588,25 @@
     def is_settling(self) -> bool:
         """Returns whether nothing may be assigned, as callers may have disconnected.
 
-        The entry has just resumed, or is cut off.
+        The entry has just resumed, is cut off, or lags.
+        """
+        return (
+            self._isolation.is_isolated
+            or self._suspension.is_settling()
+            or self._is_lagging()
+        )
+
+    def _is_lagging(self) -> bool:
+        """Returns whether leases are so short that tasks would be stopped soon."""
+        return self._watermark.lag_s() > self.settings.lease_s / 2
+
+    def lease_reduction_s(self) -> float:
+        """Returns by how much leases are shortened, because the event loop lags.
+
+        An entry renews its leases for jobs whose callers are connected, as far as it
+        knows. This holds for the time until which it has handled all disconnects.
         """
-        return self._isolation.is_isolated or self._suspension.is_settling()
+        return max(0.0, self._watermark.lag_s() - _TOLERATED_LAG_S)
 
     def assign_queued_tasks(self, service: str) -> None:
         """Assigns queued tasks of a service as long as workers have free slots."""
--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -440,8 +440,9 @@
         self.set_advertised_demand(demand + demand_long, now_s)
         lost_runs = list(self._unsent_lost_runs)
         self._unsent_lost_runs.clear()
+        lease_start_s = now_s - self._entry.dispatcher.lease_reduction_s()
         return EntryFrame(
-            sent_s=self._agent_clock_s + now_s - self.last_frame_s,
+            sent_s=self._agent_clock_s + lease_start_s - self.last_frame_s,
             demand=demand,
             demand_long=demand_long,
             precedence=precedence,
--- a/gooseberrylink/peers/messages.py
+++ b/gooseberrylink/peers/messages.py
@@ -185,7 +185,8 @@
 
     Attributes:
         sent_s: The entry's estimate of the agent's clock at sending, never later
-            than the true value. The entry's lease is counted from it.
+            than the true value, and earlier if its event loop lags. The entry's lease
+            is counted from it.
         demand: How many more units of resources (see Resources) the entry would
             use here for short tasks.
         demand_long: How many more units it would use here for long tasks.
--- a/gooseberrylink/standins/processes.py
+++ b/gooseberrylink/standins/processes.py
@@ -1,7 +1,8 @@
 """Runs entries, agents and workers as if each were a process of its own.
 
 A process can be frozen: none of its tasks runs while the clock and all other processes
-go on. It finds its frames, replies, disconnects and expired timers when it resumes.
+go on. It finds its frames, replies, disconnects and expired timers when it resumes. A
+process can also be slow: each round of its event loop takes a fixed time.
 """
 
 import collections
@@ -56,6 +57,11 @@
         """Lets a task and all of its children run again."""
         self._run_queue().extend(self._stopped.pop(root, []))
 
+    def run_one_round(self, root: trio.lowlevel.Task) -> None:
+        """Lets each task that is ready run once; what they make ready is stopped."""
+        tasks, self._stopped[root] = self._stopped[root], []
+        self._run_queue().extend(tasks)
+
     def task_scheduled(self, task: trio.lowlevel.Task) -> None:
         """See trio.abc.Instrument."""
         if not self._stopped:
@@ -98,6 +104,22 @@
         """Lets its tasks run again."""
         self._freezer.resume(self.nursery.parent_task)
 
+    async def slow_down(self, round_s: float, duration_s: float) -> None:
+        """Lets each round of its event loop take a fixed time.
+
+        Args:
+            round_s: Time between two rounds, in which no time passes.
+            duration_s: How long it is slow.
+        """
+        self.freeze()
+        end_s = trio.current_time() + duration_s
+        try:
+            while trio.current_time() < end_s and not self.has_ended:
+                await trio.sleep(round_s)
+                self._freezer.run_one_round(self.nursery.parent_task)
+        finally:
+            self.resume()
+
     def call_soon(self, function: Callable[..., Any], *arguments: Any) -> None:
         """Calls a function in a task of this process, unless it has ended."""
 
