--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -249,7 +249,7 @@
 
         They are repeated on each new link until they can have no effect.
         """
-        if self.is_connected:
+        if starts and self.is_connected:
             self._unsent_starts.extend(starts)
             self.outbox.wake_sender()
 
--- a/tests/test_agent_restart.py
+++ b/tests/test_agent_restart.py
@@ -521,3 +521,28 @@
             nursery.cancel_scope.cancel()
 
     run_on_mock_clock(main)
+
+
+def test_late_start_is_fenced_by_the_next_agent_although_the_clock_was_set_back(
+    run_with_platform_settings,
+):
+    # The worker restarts in between, and so knows no token of the earlier agent.
+    async def test(deployment, workers, add_agent):
+        worker, other_worker = workers
+        deployment.kill_agent("tank-1")
+        await add_agent(worker, fencing_token=HOUR_NS // 10**6)
+        await trio.sleep(1.0)
+        worker.execution_delay_s = LATE_START_S
+        codes = start_submitting(deployment, make_job("a", 4.0))
+        await trio.sleep(0.05)
+        deployment.kill_agent("tank-1")
+        worker.execution_delay_s = 0.0
+        worker.crash()
+        await add_agent(other_worker)
+        await trio.sleep(0.5)
+        await add_agent(worker, fencing_token=1 + round(1000 * trio.current_time()))
+        await trio.sleep(8.0)
+        assert codes == [Code.OK]
+        assert find_tasks_with_overlapping_runs(workers) == []
+
+    run_with_platform_settings(test)
