Don't submit a job whose caller left before its request was read

A new connection with a request takes ten rounds of an entry's event loop until the job is submitted, and the caller's disconnect three more until it is withdrawn (counted with hypercorn on loopback). An entry that is slow, and then gets its processor time back, reads a request that has waited for over 1.3 s. Its lag is small again by then, so it assigned the tasks, and revoked them three rounds later. The caller had sent the job again to another entry, whose runs were in progress.

Each request now waits for four rounds of the event loop before its job is submitted, in which a disconnect that has arrived cancels it. The wait takes no time on the clock; a loop that is not busy needs well under a millisecond.

--- a/gooseberrylink/callers/disconnects.py
+++ b/gooseberrylink/callers/disconnects.py
@@ -8,12 +8,19 @@
 from gooseberrylink.logs import log_event
 from gooseberrylink.types import Answer, JobRequest
 
+# Rounds of the event loop in which a disconnect that has already arrived cancels the
+# job: the connection is read, and the disconnect passes through two tasks.
+_DISCONNECT_ROUNDS = 4
+
 
 async def run_until_disconnect(
     entry: Entry, job: JobRequest, receive: Receive
 ) -> Answer:
     """Runs a job and returns its answer; cancels it if the caller disconnects.
 
+    A job is not submitted if its caller disconnected before its request was read. The
+    request may have waited, so the caller may have sent the job again.
+
     Args:
         entry: Entry that runs the job.
         job: The job.
@@ -22,6 +29,8 @@
     answer = Answer(Code.CANCELLED_MAY_HAVE_RUN, "the caller disconnected")
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_cancel_on_disconnect, entry, job, receive, nursery)
+        for _ in range(_DISCONNECT_ROUNDS):
+            await trio.lowlevel.checkpoint()
         try:
             answer = await entry.submit(job)
         except Exception as error:
--- a/tests/test_slow_processes.py
+++ b/tests/test_slow_processes.py
@@ -5,6 +5,7 @@
 """
 
 import random
+import socket
 
 import pytest
 import trio
@@ -17,14 +18,19 @@
 )
 from test_reruns import make_job
 
+from gooseberrylink.asgi import read_body, serve_lifespan
 from gooseberrylink.bench.runner import seeded_scheduler
 from gooseberrylink.callers.disconnects import run_until_disconnect
+from gooseberrylink.codes import Code
+from gooseberrylink.http_server import serve_http
+from gooseberrylink.metrics import Metrics
 from gooseberrylink.standins.leased_backend import find_tasks_with_overlapping_runs
 from gooseberrylink.standins.processes import (
     ProcessBackend,
     ProcessDeployment,
     TaskFreezer,
 )
+from gooseberrylink.types import Answer
 
 __all__ = ["platform_settings"]
 
@@ -32,6 +38,9 @@
 ROUNDS_S = [0.05, 0.15, 0.25, 0.35, 0.45, 0.6, 0.78]
 BREAKS_AFTER_S = [0.01, 0.5, 1.1, 2.0]
 WORKERS = 3
+# From the arrival of a connection with a request to the submission of its job.
+ROUNDS_TO_READ_REQUEST = 9
+REQUEST = b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\na"
 
 
 class SocketCaller:
@@ -41,7 +50,8 @@
     passes the disconnect to the request, and cancels the job.
     """
 
-    def __init__(self, play: Play, entry: int):
+    def __init__(self, play: Play, entry: int, rounds_to_read: int = 0):
+        self._rounds_to_read = rounds_to_read
         self._entry = list(play.entries.values())[entry]
         self._process = play.process_of_entry(entry)
         self._break, self._socket = trio.open_memory_channel(1)
@@ -54,10 +64,12 @@
             send.send_nowait(await self._socket.receive())
 
         async def run():
+            for _ in range(self._rounds_to_read):
+                await trio.lowlevel.checkpoint()
+            self._process.nursery.start_soon(read_socket)
             answer = await run_until_disconnect(self._entry, job, receive.receive)
             self.answers.append(answer)
 
-        self._process.nursery.start_soon(read_socket)
         self._process.nursery.start_soon(run)
 
     def disconnect(self) -> None:
@@ -134,6 +146,30 @@
     run_play(test)
 
 
+@pytest.mark.parametrize("round_s", [0.2, 0.3, 0.4, 0.7])
+@pytest.mark.parametrize("rounds", range(2, 10))
+def test_caller_that_left_before_its_request_was_read_gets_no_runs(
+    run_play, round_s, rounds
+):
+    # The entry is slow for some of the rounds that it needs to read the request.
+    async def test(play):
+        play.nursery.start_soon(
+            play.process_of_entry(0).slow_down, round_s, rounds * round_s
+        )
+        await trio.sleep(0.01)
+        caller = SocketCaller(play, 0, ROUNDS_TO_READ_REQUEST)
+        job = make_job("a", *[4.0] * 6, deadline_s=30.0)
+        caller.submit(job)
+        caller.disconnect()
+        await trio.sleep(RESUBMIT_AFTER_S)
+        SocketCaller(play, 1).submit(job)
+        await trio.sleep(5.0)
+        assert find_tasks_with_overlapping_runs(play.workers) == []
+        assert sum(len(worker.runs) for worker in play.workers) >= 6
+
+    run_play(test)
+
+
 async def fail_later(play: Play, worker: int, fault: str, after_s: float) -> None:
     await trio.sleep(after_s)
     if fault == "agent_killed":
@@ -165,3 +201,48 @@
         await submit_twice(play, break_after_s)
 
     run_play(test, seed)
+
+
+class RecordingEntry:
+    """Records the jobs that are submitted to it; see Entry."""
+
+    metrics = Metrics("entry", "entry-0")
+
+    def __init__(self):
+        self.submitted = []
+
+    async def submit(self, job) -> Answer:
+        self.submitted.append(job)
+        return Answer(Code.OK)
+
+
+@pytest.mark.parametrize("has_left", [False, True])
+def test_request_whose_client_closed_its_connection_is_not_submitted(has_left):
+    # Counts the rounds of the real server, on loopback.
+    entry = RecordingEntry()
+    handled = trio.Event()
+
+    async def app(scope, receive, send):
+        if scope["type"] == "lifespan":
+            await serve_lifespan(receive, send)
+            return
+        await read_body(receive, limit_bytes=100)
+        await run_until_disconnect(entry, make_job("a", 1.0), receive)
+        handled.set()
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(
+                serve_http, app, "127.0.0.1:0", trio.sleep_forever
+            )
+            host, port = address.split(":")
+            with socket.create_connection((host, int(port))) as client:
+                client.sendall(REQUEST)
+                if has_left:
+                    client.close()
+                with trio.fail_after(10.0):
+                    await handled.wait()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert len(entry.submitted) == (0 if has_left else 1)
