Show runs of a late start that outlast the lease of their entry

An agent reads an assignment late, starts its task, and is killed before the lease of the entry ends. The lease at the worker was renewed before the start, when nothing ran there that limited it, and a start can't shorten it.

--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -118,6 +118,34 @@
     run_with_late_orders(test, seed=0)
 
 
+def test_lease_of_a_late_start_ends_in_time_if_its_agent_fails(run_with_late_orders):
+    # The lease at the worker was renewed before the start, when nothing ran there.
+    async def test(deployment, workers):
+        first, second = deployment.entries
+        await trio.sleep(2.0)
+        connections = deployment.network.find_open_connections(
+            address=first.address_for_agents
+        )
+        for connection in connections:
+            connection.agent_end.pause_delivery()
+        with trio.move_on_after(0.01):
+            await first.submit(make_job("a", 4.0))
+        for worker in workers:
+            deployment.network.partition(worker.name, first.address_for_agents)
+        await trio.sleep(DELAY_S)
+        for connection in connections:
+            connection.agent_end.resume_delivery()
+        await trio.sleep(0.05)
+        assert len(workers[1].runs) == 3
+        deployment.kill_agent(workers[1].name)
+        await trio.sleep(RESUBMIT_AFTER_S - DELAY_S - 0.05)
+        answer = await second.submit(make_job("a", 0.2))
+        assert answer.code is Code.OK
+        assert find_tasks_with_overlapping_runs(workers) == []
+
+    run_with_late_orders(test, seed=0)
+
+
 @pytest.mark.parametrize("delay_s", [0.3, 0.5, 0.75, 0.95])
 @pytest.mark.parametrize("fault", ["agent_killed", "worker_silent"])
 def test_runs_of_a_dead_entry_end_in_time_if_their_agent_or_worker_fails_then(
