--- a/gooseberrylink/peers/link.py
+++ b/gooseberrylink/peers/link.py
@@ -74,6 +74,7 @@
         self.is_closed = False
         self.recent_frames: collections.deque[bytes] = collections.deque(maxlen=16)
         self._paused_frames: list[bytes] | None = None
+        self._is_close_paused = False
 
     def send(self, data: bytes) -> None:
         """See Link."""
@@ -91,7 +92,7 @@
             self._inbox_send.send_nowait(data)
 
     def pause_delivery(self) -> None:
-        """Holds back frames for this end, as if its process were frozen."""
+        """Holds back frames and the close, as if this end's process were frozen."""
         if self._paused_frames is None:
             self._paused_frames = []
 
@@ -100,6 +101,8 @@
         paused_frames, self._paused_frames = self._paused_frames or [], None
         for data in paused_frames:
             self.deliver(data)
+        if self._is_close_paused:
+            self.close()
 
     async def receive(self) -> bytes:
         """See Link."""
@@ -114,8 +117,12 @@
             return
         self.is_closed = True
         self._inbox_send.close()
-        if not self.is_partitioned:
+        if self.is_partitioned:
+            return
+        if self.peer._paused_frames is None:
             self.peer.close()
+        else:
+            self.peer._is_close_paused = True
 
 
 def open_memory_link() -> tuple[MemoryLink, MemoryLink]:
--- a/gooseberrylink/standins/processes.py
+++ b/gooseberrylink/standins/processes.py
@@ -18,6 +18,7 @@
     ControlReply,
     EndKind,
     LeaseRenewal,
+    RunClient,
     RunKey,
     RunReport,
     StartReply,
@@ -56,6 +57,11 @@
         """Lets a task and all of its children run again."""
         self._run_queue().extend(self._stopped.pop(root, []))
 
+    def resume_all(self) -> None:
+        """Lets all tasks run again, so that they can be cancelled."""
+        for root in list(self._stopped):
+            self.resume(root)
+
     def task_scheduled(self, task: trio.lowlevel.Task) -> None:
         """See trio.abc.Instrument."""
         if not self._stopped:
@@ -159,7 +165,7 @@
         def make_client(announcement: Announcement) -> LeasedBackendClient:
             elapsed_ms = round(1000 * (trio.current_time() + clock_offset_s))
             return LeasedBackendClient(
-                worker,
+                worker.make_client(announcement.incarnation),
                 _UNIX_TIME_MS + elapsed_ms,
                 LeaseSettings(),
                 agent.metrics,
@@ -228,6 +234,10 @@
         self._born_s = 0.0
         self._end_listed = trio.Event()
 
+    def make_client(self, incarnation: str) -> RunClient:
+        """Returns the client for an incarnation; this worker never changes its id."""
+        return self
+
     async def start(
         self, key: RunKey, payload: Any, lease_end_ms: int, fencing_token: int
     ) -> StartReply:
