Notice that a slow or frozen entry was cut off

What callers saw: two runs of a task at the same time. An entry host was cut off for 1.2 s, and was slow or frozen for a part of that. A caller left and sent its job again at another entry 1.3 s later. The links opened again before the disconnect arrived (1.0 s after them in the test), and the entry reran the task that its agent had stopped.

Cause: counts the silence of agents in ticks of the entry's own loop, at their planned length. A process that is slow or frozen has fewer of them, so a cut for longer than a lease was not noticed.

Why it works: the silence is the time since the last sign of an agent. The reason for the ticks was that a resumed process must first read the frames that are waiting. So a silence that is too long counts only if it is still there after ten rounds of the event loop.

Ruled out: to take each suspension longer than a lease for a cut.

--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -107,9 +107,9 @@
             self._admission.startup_grace_ends_s = trio.current_time() + agents_back_s
             task_status.started()
             while True:
-                tick_s = await self._suspension.wait_for_tick()
+                await self._suspension.wait_for_tick()
                 if self._is_any_agent_connected():
-                    self._isolation.count_silence(tick_s)
+                    await self._isolation.check_silence()
                 self._reclaim_tasks_with_expired_leases()
                 self._check_queues()
 
--- a/gooseberrylink/isolation.py
+++ b/gooseberrylink/isolation.py
@@ -1,14 +1,18 @@
 """Notices that an entry was cut off from all agents."""
 
+import math
+
+import trio
+
 from gooseberrylink.logs import log_event
 
+# A frame that waits in a socket is handled within a few rounds of the event loop.
+_READ_ROUNDS = 10
+
 
 class IsolationMonitor:
     """Tells whether an entry is cut off from all agents, and perhaps from its callers.
 
-    Time is counted in ticks, because a process that resumes from a suspension must read
-    the frames that are waiting before it decides that its peers are silent.
-
     Attributes:
         is_isolated: Whether the links to all agents are silent, or were closed because
             they were.
@@ -23,14 +27,24 @@
         """
         self.is_isolated = False
         self._max_silence_s = max_silence_s
-        self._silence_s = 0.0
+        self._last_sign_s = math.inf
 
-    def count_silence(self, tick_s: float) -> None:
-        """Adds a tick in which a link was open; a sign of an agent resets the sum."""
-        self._silence_s += tick_s
-        if self._silence_s > self._max_silence_s:
+    async def check_silence(self) -> None:
+        """Checks for how long open links have been silent, suspensions included.
+
+        A process that was suspended or slow must read the frames that are waiting
+        before it decides that its peers are silent.
+        """
+        if not self._is_silent():
+            return
+        for _ in range(_READ_ROUNDS):
+            await trio.lowlevel.checkpoint()
+        if self._is_silent():
             self.record_isolation()
 
+    def _is_silent(self) -> bool:
+        return trio.current_time() - self._last_sign_s > self._max_silence_s
+
     def record_isolation(self) -> None:
         """Records that no link is left that isn't silent."""
         if not self.is_isolated:
@@ -45,5 +59,5 @@
         """
         was_isolated = self.is_isolated
         self.is_isolated = False
-        self._silence_s = 0.0
+        self._last_sign_s = trio.current_time()
         return was_isolated
--- a/gooseberrylink/suspension.py
+++ b/gooseberrylink/suspension.py
@@ -32,15 +32,10 @@
         """
         return self._ticks_left > 0 or self._silence_s() > self._min_suspension_s
 
-    async def wait_for_tick(self) -> float:
-        """Waits for the next tick; called in a loop for as long as the entry runs.
-
-        Returns:
-            The planned time of the tick, in seconds.
-        """
+    async def wait_for_tick(self) -> None:
+        """Waits for the next tick; called in a loop for as long as the entry runs."""
         self._last_tick_s = min(self._last_tick_s, trio.current_time())
-        tick_s = _SETTLING_TICK_S if self._ticks_left else _TICK_S
-        await trio.sleep(tick_s)
+        await trio.sleep(_SETTLING_TICK_S if self._ticks_left else _TICK_S)
         suspended_s = self._silence_s()
         if suspended_s > self._min_suspension_s:
             log_event("entry_resumed", "WARNING", suspended_s=suspended_s)
@@ -48,7 +43,6 @@
         elif self._ticks_left:
             self._ticks_left -= 1
         self._last_tick_s = trio.current_time()
-        return tick_s
 
     def _silence_s(self) -> float:
         """Returns the time since the last tick; -inf before the first call."""
--- a/tests/test_schedules.py
+++ b/tests/test_schedules.py
@@ -133,6 +133,21 @@
     assert find_overlaps([schedule], platform_settings) == [schedule]
 
 
+def test_slow_entry_that_was_cut_off_reruns_no_task_whose_caller_left(
+    platform_settings,
+):
+    # It counted the silence of its agents in ticks, which came too rarely.
+    schedules = [
+        (
+            Event(kind, 0.3),
+            Event("entry cut 1.2", 0.4),
+            Event("caller's channel breaks", 0.43),
+        )
+        for kind in ("entry slow", "entry frozen 1.2")
+    ]
+    assert find_overlaps(schedules, platform_settings) == []
+
+
 def test_entry_that_was_frozen_while_it_was_cut_off_reruns_no_task(platform_settings):
     # It resumes after the cut, and finds frames as after a freeze alone.
     schedule = (
