Take the reset of one link for no sign that an entry can be reached

What callers saw: two runs of a task at the same time. An entry host was cut off for 1.2 s, and one of its links was reset meanwhile. A caller left and sent its job again at another entry 1.3 s later. The disconnect arrived 1.0 s after the end of the cut, and the entry had rerun the task by then.

Cause: the entry took each link that it had not closed itself for closed by the agent, so for a sign that it could be reached, and did not count as cut off. A reset may come from its own host or the network.

Why it works: while another link is open, the close of a link changes nothing; the frames on the other links, every 0.25 to 0.5 s, tell whether the entry can be reached. The close of the last link still counts as before, so that an entry whose agents all died reruns their tasks (test_entry_whose_agents_all_died_*).

What remains: all links reset during a cut while the callers' connections are not.

--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -409,10 +409,13 @@
         Args:
             has_timed_out: Whether this entry closed it because the agent was silent.
         """
-        if not has_timed_out:
-            self.handle_sign_of_agent()
-        elif not self._is_any_agent_connected():
+        if self._is_any_agent_connected():
+            # Not a sign of the agent: a network that cuts this entry off may reset it.
+            return
+        if has_timed_out:
             self._isolation.record_isolation()
+        else:
+            self.handle_sign_of_agent()
 
     def _is_any_agent_connected(self) -> bool:
         return any(peer.is_connected for peer in self._all_peers())
--- a/tests/test_schedules.py
+++ b/tests/test_schedules.py
@@ -148,6 +148,15 @@
     assert find_overlaps(schedules, platform_settings) == []
 
 
+def test_reset_of_one_link_is_no_sign_that_an_entry_can_be_reached(platform_settings):
+    schedule = (
+        Event("entry cut 1.2", 0.4),
+        Event("caller's channel breaks", 0.7),
+        Event("link reset", 1.0),
+    )
+    assert find_overlaps([schedule], platform_settings) == []
+
+
 def test_entry_that_was_frozen_while_it_was_cut_off_reruns_no_task(platform_settings):
     # It resumes after the cut, and finds frames as after a freeze alone.
     schedule = (
