Deliver the disconnect of a caller at once if the entry's connections are reset

The search held it back until the end of a cut although the connection was reset, and so reported an overlap that can't occur ('entry cut 1.2', caller's channel, 'entry reset').

--- a/tests/schedules.py
+++ b/tests/schedules.py
@@ -142,7 +142,7 @@
         self.isolated_until_s: dict[str, float] = dict.fromkeys(ENTRIES, 0.0)
         self.caller_lost = trio.Event()
         self.caller_entry = ENTRIES[0]
-        self.is_reset = False
+        self.channels_reset = trio.Event()
         self.codes: list[Code] = []
         self.submitted_s = 0.0
 
@@ -281,8 +281,9 @@
     async def disconnect(self, name: str, send) -> None:
         """Tells an entry that its caller has left, once it can be reached."""
         until_s = self.isolated_until_s[name]
-        if trio.current_time() < until_s and not self.is_reset:
-            await trio.sleep_until(until_s + LATE_DISCONNECT_S)
+        if trio.current_time() < until_s:
+            with trio.move_on_at(until_s + LATE_DISCONNECT_S):
+                await self.channels_reset.wait()
         send.send_nowait({"type": "http.disconnect"})
 
     # Events.
@@ -311,8 +312,8 @@
         for link in self.links(None, ENTRIES[0]):
             link.entry_end.close()
         if self.caller_entry == ENTRIES[0]:
-            self.is_reset = True
             self.caller_lost.set()
+        self.channels_reset.set()
 
     async def kill_agent(self, restart_s: float) -> None:
         process, worker = self.process_of_agent(), self.holder()
