--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -127,10 +127,10 @@
             self._admission.startup_grace_ends_s = trio.current_time() + agents_back_s
             task_status.started()
             while True:
-                tick_s = await self._suspension.wait_for_tick()
+                await self._suspension.wait_for_tick()
                 nursery.start_soon(self._advance_watermark)
                 if self._is_any_agent_connected():
-                    self._isolation.count_silence(tick_s)
+                    await self._isolation.check_silence()
                 self._reclaim_tasks_with_expired_leases()
                 self._check_queues()
 
@@ -449,10 +449,13 @@
         Args:
             has_timed_out: Whether this entry closed it because the agent was silent.
         """
-        if not has_timed_out:
-            self.handle_sign_of_agent()
-        elif not self._is_any_agent_connected():
+        if self._is_any_agent_connected():
+            # Not a sign of the agent: a network that cuts this entry off may reset it.
+            return
+        if has_timed_out:
             self._isolation.record_isolation()
+        else:
+            self.handle_sign_of_agent()
 
     def _is_any_agent_connected(self) -> bool:
         return any(peer.is_connected for peer in self._all_peers())
--- a/gooseberrylink/standins/processes.py
+++ b/gooseberrylink/standins/processes.py
@@ -19,6 +19,7 @@
     ControlReply,
     EndKind,
     LeaseRenewal,
+    RunClient,
     RunKey,
     RunReport,
     StartReply,
@@ -62,6 +63,11 @@
         tasks, self._stopped[root] = self._stopped[root], []
         self._run_queue().extend(tasks)
 
+    def resume_all(self) -> None:
+        """Lets all tasks run again, so that they can be cancelled."""
+        for root in list(self._stopped):
+            self.resume(root)
+
     def task_scheduled(self, task: trio.lowlevel.Task) -> None:
         """See trio.abc.Instrument."""
         if not self._stopped:
@@ -181,7 +187,7 @@
         def make_client(announcement: Announcement) -> LeasedBackendClient:
             elapsed_ms = round(1000 * (trio.current_time() + clock_offset_s))
             return LeasedBackendClient(
-                worker,
+                worker.make_client(announcement.incarnation),
                 _UNIX_TIME_MS + elapsed_ms,
                 LeaseSettings(),
                 agent.metrics,
@@ -250,6 +256,10 @@
         self._born_s = 0.0
         self._end_listed = trio.Event()
 
+    def make_client(self, incarnation: str) -> RunClient:
+        """Returns the client for an incarnation; this worker never changes its id."""
+        return self
+
     async def start(
         self, key: RunKey, payload: Any, lease_end_ms: int, fencing_token: int
     ) -> StartReply:
