Take a late first frame of an earlier agent for no news of it

A frame after the hello shows that its sender lived when the entry had answered the hello, not that it lives now. If the frame is late (lost at first, and transmitted again after the agent was killed and its next incarnation had connected), the entry took its sender for the newest incarnation: it reran all tasks that were running, and refused the links of the present agent for good.

Incarnations of an agent don't live at once, so one whose hello came before that of one that has sent a frame is an earlier one. The new test failed on (joined): all 8 tasks were assigned to the other worker while they ran.

--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -88,6 +88,8 @@
         self._earlier_incarnations: collections.deque[str] = collections.deque(
             maxlen=_MAX_EARLIER_INCARNATIONS
         )
+        # Incarnations whose hello was answered and that have sent no frame yet.
+        self._unproven_incarnations: list[str] = []
         self.data_centre = ""
         self.service = ""
         self.slots = 0
@@ -260,12 +262,13 @@
 
         A hello may be late, and then does not prove that the tasks in flight have
         ended. The first frame that follows shows that its sender lives: the agent sends
-        it after it has received the entry's hello. A link of an incarnation that is
-        known as earlier is closed.
+        it after it has received the entry's hello. That frame may be late as well, so
+        incarnations whose hello came before are earlier ones. A link of an incarnation
+        that is known as earlier is closed.
         """
         first_frame = None
         if hello.incarnation not in self._earlier_incarnations:
-            first_frame = await self._receive_first_frame(link)
+            first_frame = await self._receive_first_frame(link, hello.incarnation)
         # Another incarnation may have connected meanwhile.
         if first_frame is None or hello.incarnation in self._earlier_incarnations:
             log_event("late_hello_ignored", "WARNING", worker=self.worker)
@@ -283,14 +286,29 @@
                 self._end_session()
             self._entry.dispatcher.handle_link_closed(session.has_timed_out)
 
-    async def _receive_first_frame(self, link: Link) -> bytes | None:
+    async def _receive_first_frame(self, link: Link, incarnation: str) -> bytes | None:
         """Answers a hello; returns the frame that follows, or None if none does."""
         link.send(encode(self._entry.make_hello()))
+        self._unproven_incarnations.append(incarnation)
         try:
             with trio.fail_after(_FIRST_FRAME_TIMEOUT_S):
-                return await link.receive()
+                frame = await link.receive()
         except (LinkClosedError, trio.TooSlowError):
             return None
+        else:
+            self._record_earlier_than(incarnation)
+            return frame
+        finally:
+            self._unproven_incarnations.remove(incarnation)
+
+    def _record_earlier_than(self, incarnation: str) -> None:
+        """Records the incarnations whose hello came before one that lived after it."""
+        if incarnation in self._earlier_incarnations:
+            return
+        index = self._unproven_incarnations.index(incarnation)
+        for earlier in self._unproven_incarnations[:index]:
+            if earlier not in self._earlier_incarnations:
+                self._earlier_incarnations.append(earlier)
 
     def _start_session(self, session: Session, hello: AgentHello) -> None:
         self._entry.dispatcher.handle_sign_of_agent()
--- a/tests/test_withdrawn_jobs.py
+++ b/tests/test_withdrawn_jobs.py
@@ -214,10 +214,13 @@
         self._unfinished_ids: list[str] = []
 
     def connect(self, incarnation: str = "1") -> None:
+        self.say_hello(incarnation)
+        self.send()
+
+    def say_hello(self, incarnation: str) -> None:
         self._link, entry_end = open_memory_link()
         self._units_received = 0
         self._link.send(encode(make_hello(self._worker, incarnation)))
-        self.send()
         self._nursery.start_soon(self._entry.serve_link, entry_end)
         self._nursery.start_soon(self._read_frames, self._link)
 
@@ -491,3 +494,28 @@
         assert caller.answer.code is Code.OK
 
     run_entry_with_scripted_agents(test)
+
+
+def test_late_first_frame_of_an_earlier_incarnation_reruns_no_running_task(
+    run_entry_with_scripted_agents,
+):
+    # The entry had answered its hello before it was killed, and the next incarnation
+    # connected before its first frame was transmitted again.
+    async def test(nursery, entry, agents):
+        late = ScriptedAgent(nursery, entry, "tank-1")
+        late.say_hello(incarnation="2")
+        await trio.sleep(0.01)
+        agents[0].connect(incarnation="3")
+        await trio.sleep(0.01)
+        caller = Caller(entry)
+        nursery.start_soon(caller.submit, make_job("a", *[4.0] * 8))
+        await wait_for_assignments(agents[0], 8)
+        report_free_units(agents)
+        late.send()
+        await trio.sleep(0.1)
+        assert agents[1].assigned == []
+        agents[0].end_tasks(Status.DONE)
+        await trio.sleep(0.1)
+        assert caller.answer.code is Code.OK
+
+    run_entry_with_scripted_agents(test)
