Hold that runs of a killed agent end before its entry reruns them

The requests to stop them are lost, and each renewal of the new incarnation extends them. 1.0 s after its start the agent connects ("earlier_runs_ended by=lease"), and entries take its hello as proof that these runs have ended.

--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -9,7 +9,13 @@
 from gooseberrylink.backends.runs import ControlReply, EndKind
 from gooseberrylink.codes import Code
 from gooseberrylink.metrics import Metrics
-from gooseberrylink.platform.common import link_settings
+from gooseberrylink.platform.common import (
+    EARLIER_RUNS_END_S,
+    MAX_LATE_START_S,
+    RERUN_AFTER_AGENT_END_S,
+    RERUN_AFTER_SILENCE_S,
+    link_settings,
+)
 from gooseberrylink.resources import Resources
 from gooseberrylink.standins.leased_backend import (
     FakeBackendOwner,
@@ -199,11 +205,15 @@
 
 
 class BackendWithLateStops(FakeLeasedBackend):
-    """Executes each request to stop a run LATE_STOP_S after it was sent."""
+    """Executes each request to stop a run late_stop_s after it was sent."""
+
+    late_stop_s = LATE_STOP_S
 
     async def stop(self, key, fencing_token):
         self._nursery.start_soon(
-            self._execute_later, lambda: self._stop(key, fencing_token), LATE_STOP_S
+            self._execute_later,
+            lambda: self._stop(key, fencing_token),
+            self.late_stop_s,
         )
         await trio.sleep(0.25)
         return ControlReply.UNANSWERED
@@ -247,6 +257,56 @@
     run_on_deployment(test)
 
 
+@pytest.mark.parametrize("back_s", [0.3, 0.5, 0.7])
+@pytest.mark.parametrize("late_stop_s", [4.0, 8.0])
+def test_runs_of_a_killed_agent_end_before_its_entry_reruns_their_tasks(
+    run_on_deployment, late_stop_s, back_s
+):
+    # Its next incarnation renewed the lease of runs that it was trying to stop.
+    async def test(deployment):
+        async with trio.open_nursery() as nursery:
+            entry = await deployment.add_entry(
+                "entry-0",
+                rerun_after_silence_s=RERUN_AFTER_SILENCE_S,
+                max_late_start_s=MAX_LATE_START_S,
+                **link_settings(),
+            )
+            worker = BackendWithLateStops("tank-1", nursery)
+            worker.late_stop_s = late_stop_s
+            other_worker = FakeLeasedBackend("tank-2", nursery)
+            workers = [worker, other_worker]
+            for backend in workers:
+                nursery.start_soon(backend.advance_runs)
+            agent_settings = {
+                "dial_after_s": RERUN_AFTER_AGENT_END_S,
+                "earlier_runs_end_s": EARLIER_RUNS_END_S,
+            }
+            await deployment.add_agent_with_leases(
+                worker, **agent_settings, **link_settings()
+            )
+            await deployment.wait_connected()
+            answers = []
+
+            async def submit():
+                answers.append(await entry.submit(make_job("a", 4.0, task_count=1)))
+
+            async with trio.open_nursery() as submit_nursery:
+                submit_nursery.start_soon(submit)
+                await trio.sleep(0.5)
+                await deployment.add_agent_with_leases(other_worker, **link_settings())
+                deployment.kill_agent(worker.name)
+                await trio.sleep(back_s)
+                await deployment.add_agent_with_leases(
+                    worker, 2, **agent_settings, **link_settings()
+                )
+            assert [answer.code for answer in answers] == [Code.OK]
+            assert [len(backend.runs) for backend in workers] == [1, 1]
+            assert find_tasks_with_overlapping_runs(workers) == []
+            nursery.cancel_scope.cancel()
+
+    run_on_deployment(test)
+
+
 def test_worker_is_not_asked_for_a_second_run_of_a_task_whose_first_goes_on(
     run_on_deployment,
 ):
