--- a/tests/test_slow_processes.py
+++ b/tests/test_slow_processes.py
@@ -194,7 +194,7 @@
         play.workers[worker].is_unresponsive = True
 
 
-@pytest.mark.parametrize("seed", range(24))
+@pytest.mark.parametrize("seed", [*range(24), 61])
 @pytest.mark.parametrize("fault", ["agent_killed", "agent_frozen", "worker_silent"])
 def test_runs_of_slow_processes_end_in_time_if_an_agent_or_worker_fails(
     run_play, fault, seed
