Use the one freeze() of the searches in both

The search of all orders of a few events had a copy of the function that test_overlapping_runs.py already has, and from which it imports.

--- a/tests/schedules.py
+++ b/tests/schedules.py
@@ -12,7 +12,7 @@
 
 import trio
 import trio.testing
-from test_overlapping_runs import RESUBMIT_AFTER_S
+from test_overlapping_runs import RESUBMIT_AFTER_S, freeze
 
 from gooseberrylink.backends.client import Announcement
 from gooseberrylink.backends.runs import ControlReply, RunKey, StartReply
@@ -21,9 +21,7 @@
 from gooseberrylink.codes import Code
 from gooseberrylink.entry import Entry
 from gooseberrylink.resources import Resources
-from gooseberrylink.standins.leased_backend import (
-    POLL_INTERVAL_S,
-)
+from gooseberrylink.standins.leased_backend import POLL_INTERVAL_S
 from gooseberrylink.standins.processes import (
     Process,
     ProcessBackend,
@@ -462,14 +460,6 @@
             other.fates |= dict.fromkeys(kinds.split(), fate)
 
 
-async def freeze(process: Process | None, duration_s: float) -> None:
-    if process is None or process.is_frozen:
-        return
-    process.freeze()
-    await trio.sleep(duration_s)
-    process.resume()
-
-
 async def slow_down(process: Process | None, duration_s: float) -> None:
     """Lets a process run for short moments only."""
     end_s = trio.current_time() + duration_s
