Check what names a backend server before it is used

Cause: the id of the path became part of a header, and the address of the report was dialled, without a check whether a header or a resolver accepts them. The report had been stored before, so restore() used it at each start.

Ruled out: the bytes of the id as the only way in.

A report that fails the check gets 400, is counted, and names no backend server.

--- a/gooseberrylink/backends/announcement_store.py
+++ b/gooseberrylink/backends/announcement_store.py
@@ -10,7 +10,6 @@
 import msgspec
 import trio
 
-from gooseberrylink.addresses import split_address
 from gooseberrylink.backends.client import Announcement
 from gooseberrylink.backends.fencing import FencingToken
 from gooseberrylink.backends.incarnations import IncarnationTracker
@@ -20,7 +19,7 @@
     RunClient,
     RunReport,
 )
-from gooseberrylink.exceptions import MalformedAddressError
+from gooseberrylink.exceptions import MalformedAnnouncementError
 from gooseberrylink.logs import log_event
 from gooseberrylink.metrics import Metrics
 from gooseberrylink.store import RowStore, StoredRow, StoreErrorKind, put_with_retry
@@ -179,8 +178,8 @@
         return None
     try:
         stored = _decode(row.value)
-        split_address(stored.announcement.address)
+        stored.announcement.check()
         return stored
-    except (msgspec.MsgspecError, MalformedAddressError) as error:
+    except (msgspec.MsgspecError, MalformedAnnouncementError) as error:
         log_event("store_row_malformed", "WARNING", key=row.key, error=error)
         return None
--- a/gooseberrylink/backends/client.py
+++ b/gooseberrylink/backends/client.py
@@ -1,10 +1,17 @@
 """Defines the agent's interface to backend servers."""
 
 import dataclasses
+import re
 from typing import Any, Protocol
 
+from gooseberrylink.addresses import split_address
+from gooseberrylink.exceptions import MalformedAddressError, MalformedAnnouncementError
 from gooseberrylink.peers.messages import Status
 
+# Requests carry the incarnation in a header.
+_INCARNATION = re.compile(r"[!-~]{0,200}")
+_MAX_BORN_MS = 2**53
+
 
 @dataclasses.dataclass(slots=True)
 class BackendOutcome:
@@ -71,6 +78,30 @@
     hardware: str = ""
     rack: str = ""
 
+    def check(self) -> None:
+        """Checks that requests can be sent to the backend server.
+
+        Announcements come from other processes, or from earlier releases through the
+        store, so each one is checked before it is used.
+
+        Raises:
+            MalformedAnnouncementError: The address, the incarnation or the start time
+                can't be used.
+        """
+        try:
+            split_address(self.address)
+        except MalformedAddressError as error:
+            raise MalformedAnnouncementError(str(error)) from None
+        if not _INCARNATION.fullmatch(self.incarnation):
+            raise MalformedAnnouncementError(
+                f"incarnation {self.incarnation!r:.80}: expected at most 200 visible"
+                " ASCII characters"
+            )
+        if not 0 <= self.born_ms <= _MAX_BORN_MS:
+            raise MalformedAnnouncementError(
+                f"born_ms {str(self.born_ms):.30}: expected 0 to {_MAX_BORN_MS}"
+            )
+
 
 class BackendClient(Protocol):
     """Client of a backend server, the process that executes the tasks.
--- a/gooseberrylink/callers/models.py
+++ b/gooseberrylink/callers/models.py
@@ -2,6 +2,7 @@
 
 from typing import Annotated, Any
 
+import msgspec
 import pydantic
 from pydantic import Field
 
@@ -26,6 +27,16 @@
     payload: Any = None
     declared_s: Annotated[float, Field(ge=0, le=86_400)] = 0.0
 
+    @pydantic.field_validator("payload")
+    @classmethod
+    def _check_encodable(cls, payload: Any) -> Any:
+        """Refuses what no frame to an agent can carry, such as integers over 2**64."""
+        try:
+            msgspec.msgpack.encode(payload)
+        except (OverflowError, RecursionError, TypeError, ValueError) as error:
+            raise ValueError(f"the payload can't be encoded: {error}") from None
+        return payload
+
 
 class JobModel(StrictModel):
     """A job as callers write it, in JSON or YAML.
@@ -54,7 +65,7 @@
         text: The declarations in canonical form.
     """
 
-    version: Annotated[int, Field(ge=1)]
+    version: Annotated[int, Field(ge=1, le=2**53)]
     text: str
 
 
--- a/gooseberrylink/exceptions.py
+++ b/gooseberrylink/exceptions.py
@@ -15,6 +15,10 @@
     """An address is not host:port."""
 
 
+class MalformedAnnouncementError(GooseberrylinkError, ValueError):
+    """An announcement names no backend server that can be used."""
+
+
 class ListenError(GooseberrylinkError):
     """An address can't be listened on, for example because it is in use."""
 
--- a/gooseberrylink/platform/desired_state.py
+++ b/gooseberrylink/platform/desired_state.py
@@ -1,6 +1,6 @@
 """Converts the operator's desired state in the platform's store to declarations."""
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -19,6 +19,10 @@
 _UNLIMITED_S = 86_400.0
 
 
+# Larger numbers would not fit into the frames between entries and agents.
+Version = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+
+
 class _Route(msgspec.Struct, rename="camel"):
     """A queue of jobs, selected by host and path prefix.
 
@@ -44,7 +48,7 @@
 
 
 class _DesiredState(msgspec.Struct):
-    version: int
+    version: Version
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
--- a/gooseberrylink/platform/heartbeats.py
+++ b/gooseberrylink/platform/heartbeats.py
@@ -2,11 +2,10 @@
 
 import msgspec
 
-from gooseberrylink.addresses import split_address
 from gooseberrylink.asgi import PlainRequest, PlainResponse, make_plain_app
 from gooseberrylink.backends.client import Announcement
 from gooseberrylink.backends.incarnations import AnnouncementReceiver
-from gooseberrylink.exceptions import MalformedAddressError
+from gooseberrylink.exceptions import MalformedAnnouncementError
 from gooseberrylink.logs import log_event
 from gooseberrylink.metrics import Metrics
 from gooseberrylink.resources import Amount
@@ -86,10 +85,6 @@
                 f"service is {heartbeat.service!r}, state is {heartbeat.state!r};"
                 f" expected service {self._service!r} and state 'ready' or 'draining'",
             )
-        try:
-            split_address(heartbeat.address)
-        except MalformedAddressError as error:
-            return self._reject(instance_id, str(error))
         announcement = Announcement(
             service=heartbeat.service,
             address=heartbeat.address,
@@ -102,6 +97,10 @@
             hardware=heartbeat.labels[0] if heartbeat.labels else "",
             rack=heartbeat.labels[1] if len(heartbeat.labels) > 1 else "",
         )
+        try:
+            announcement.check()
+        except MalformedAnnouncementError as error:
+            return self._reject(instance_id, str(error))
         is_draining = heartbeat.state == "draining"
         self._receiver.handle_announcement(
             announcement, heartbeat.sequence, is_draining
--- a/gooseberrylink/platform/settings.py
+++ b/gooseberrylink/platform/settings.py
@@ -11,6 +11,7 @@
 from gooseberrylink.addresses import split_address
 from gooseberrylink.exceptions import ConfigError, MalformedAddressError
 from gooseberrylink.logs import log_event
+from gooseberrylink.settings import Address
 
 SETTINGS_PATH_VARIABLE = "GOOSEBERRYLINK_BOOT"
 
@@ -59,7 +60,7 @@
 class StoreEndpoint(_Section):
     """Address of the platform's table store, as host:port."""
 
-    address: str = Field(pattern=r"^.+:\d+$")
+    address: Address
 
 
 class Settings(_Section):
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -170,6 +170,22 @@
     assert run(client.renew, LeaseRenewal(1, 0, None, 0.0)) is ControlReply.UNANSWERED
 
 
+# Each raised an error of its own type where a connection was opened.
+NO_HOSTS = ["..:80", "a..b:80", f"{'a' * 64}:80", f"{'a.' * 127}a:80", "[.]:80"]
+NO_HOSTS += ["[::g]:80", "[:]:80", "1.2.3:80", "999.1.1.1:80", ".:80"]
+
+
+@pytest.mark.parametrize("address", NO_HOSTS)
+def test_address_whose_host_no_resolver_accepts_is_malformed(address):
+    with pytest.raises(MalformedAddressError, match="expected host:port"):
+        split_address(address)
+
+
+@pytest.mark.parametrize("address", ["10.0.0.9:80", "[::1]:80", "w-1_a.north:80"])
+def test_addresses_of_hosts_are_accepted(address):
+    assert split_address(address)[1] == 80
+
+
 @given(st.text(max_size=30))
 def test_addresses(text):
     try:
@@ -269,6 +285,10 @@
 }
 
 
+# Bytes that are no UTF-8 reach the handler as replacement characters.
+UNUSABLE_IDS = ["i-\ufffd\ufffd", "i-\u00e9", "i 1", "i\r\nX-A: b", "i" * 201]
+
+
 class RecordingReceiver:
     """Keeps the announcements that it receives."""
 
@@ -290,6 +310,36 @@
         assert announcement.slots >= 0
 
 
+def handle_heartbeat(instance_id: str, **fields) -> tuple[int, list, Metrics]:
+    """Returns the response's status, the announcements and the metrics."""
+    receiver, metrics = RecordingReceiver(), Metrics("agent", "a")
+    handler = HeartbeatHandler("s", receiver, metrics)
+    body = json.dumps(HEARTBEAT | fields).encode()
+    response = handler._handle_heartbeat(instance_id, body)
+    return response.status, receiver.announcements, metrics
+
+
+def test_heartbeat_names_its_backend_server():
+    status, announcements, _ = handle_heartbeat("i-1")
+    assert (status, announcements[0].incarnation) == (200, "i-1")
+
+
+@pytest.mark.parametrize("instance_id", UNUSABLE_IDS)
+def test_heartbeat_with_an_unusable_id_names_no_backend_server(instance_id):
+    # Guards against an agent that ends, as its requests carry the id in a header.
+    status, announcements, metrics = handle_heartbeat(instance_id)
+    assert (status, announcements) == (400, [])
+    assert metrics.get("heartbeats_skipped") == 1
+
+
+@pytest.mark.parametrize(
+    "fields", [{"address": "..:80"}, {"address": "[.]:80"}, {"born": 10**30}]
+)
+def test_heartbeat_with_an_unusable_field_names_no_backend_server(fields):
+    status, announcements, _ = handle_heartbeat("i-1", **fields)
+    assert (status, announcements) == (400, [])
+
+
 ROWS = {"rows": [{"key": "k", "value": "aGk=", "ver": 3}], "ver": 4}
 
 
@@ -331,6 +381,19 @@
         PlatformRunClient(stored.announcement.address, "i-1")
 
 
+@pytest.mark.parametrize(
+    "fields",
+    [{"incarnation": i} for i in UNUSABLE_IDS]
+    + [{"address": "..:80"}, {"address": "[.]:80"}, {"born_ms": 10**30}],
+)
+def test_stored_announcement_that_names_no_backend_server_is_not_restored(fields):
+    # Guards against an agent that ends at each start, as an earlier release stored it.
+    value = json.dumps(
+        STORED | {"announcement": STORED["announcement"] | fields}
+    ).encode()
+    assert announcement_store._decode_row(StoredRow("k", value)) is None
+
+
 STATE = {
     "version": 7,
     "routes": [{"name": "r", "host": "h", "pathPrefix": "/a/", "service": "s"}],
@@ -361,6 +424,13 @@
     assert receiver.config_version >= 0
 
 
+def test_desired_state_whose_version_fits_into_no_frame_is_not_adopted():
+    receiver = AdoptingReceiver()
+    source = ChangeFeedSource(None, {"north": "coast"}, Metrics("entry", "e"))
+    source._adopt(receiver, json.dumps(STATE | {"version": 10**30}).encode())
+    assert receiver.config_version == 0
+
+
 SETTINGS = {
     "node": "e-1",
     "ip": "10.0.0.1",
@@ -391,6 +461,14 @@
                 assert isinstance(settings_read.seed_link_addresses, list)
 
 
+@pytest.mark.parametrize("address", ["no-port", "[.]:4", "..:4"])
+def test_address_of_the_store_that_no_client_accepts_is_an_error(tmp_path, address):
+    path = tmp_path / "local.yaml"
+    path.write_text(yaml.safe_dump(SETTINGS | {"platform": {"address": address}}))
+    with pytest.raises(ConfigError, match="platform.address"):
+        read_settings(path)
+
+
 @pytest.mark.parametrize("text", ["a: 2026-13-01", "&a [*a]", "[" * 3000])
 def test_yaml_that_python_can_not_represent(tmp_path, text):
     path = tmp_path / "local.yaml"
@@ -443,3 +521,11 @@
     with pytest.raises(RefusedError) as error:
         job_api._parse_job(QUEUE, "00ff", {}, json.dumps(job).encode())
     assert error.value.code.name == "MALFORMED_JOB"
+
+
+def test_job_whose_payload_fits_into_no_frame_is_refused():
+    # Guards against an entry that ends when it encodes the task for an agent.
+    job = {"customer": "c", "service": "s", "tasks": [{"payload": [10**30]}]}
+    with pytest.raises(RefusedError) as error:
+        parse_job(json.dumps(job).encode(), "", Configuration())
+    assert "tasks.0.payload" in error.value.detail
