End one request or one link after an unexpected error

Cause: HttpClient.call expected the errors of connections alone, and Session._send_frames a closed link alone. A job whose first assignment failed left its tasks in the queue.

Change: an unexpected error ends that request as one without a reply, or that link; the job's tasks are withdrawn.

--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -194,13 +194,13 @@
         for task in job.tasks:
             if self.crash_history.is_to_be_given_up(task.spec.name):
                 return self._crash_answer(task)
-        # A job completes with its last task, so the longest tasks are placed first
-        # and get the fastest slots.
-        for task in sorted(job.tasks, key=lambda task: -task.expected_s):
-            self._push_or_await_crash_reports(task)
-        self.assign_queued_tasks(pool.service)
-        self._assign_new_job(pool, job)
         try:
+            # A job completes with its last task, so the longest tasks are placed first
+            # and get the fastest slots.
+            for task in sorted(job.tasks, key=lambda task: -task.expected_s):
+                self._push_or_await_crash_reports(task)
+            self.assign_queued_tasks(pool.service)
+            self._assign_new_job(pool, job)
             return await self._await_answer(job)
         finally:
             self._withdraw_tasks(job)
--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -10,6 +10,7 @@
 from gooseberrylink.crash_history import MAX_LOST_RUNS_A_FRAME
 from gooseberrylink.exceptions import LinkClosedError
 from gooseberrylink.logs import log_event
+from gooseberrylink.metrics import Metrics
 from gooseberrylink.peers.config_push import decompress_update
 from gooseberrylink.peers.link import Link
 from gooseberrylink.peers.messages import (
@@ -130,6 +131,11 @@
         """See SessionOwner."""
         return self.worker
 
+    @property
+    def metrics(self) -> Metrics:
+        """See SessionOwner."""
+        return self._entry.metrics
+
     @property
     def is_connected(self) -> bool:
         """Whether a link to the agent is open."""
--- a/gooseberrylink/peers/entry_peer.py
+++ b/gooseberrylink/peers/entry_peer.py
@@ -9,6 +9,7 @@
 from gooseberrylink.crash_history import MAX_LOST_RUNS_A_FRAME
 from gooseberrylink.exceptions import LinkClosedError
 from gooseberrylink.logs import log_event
+from gooseberrylink.metrics import Metrics
 from gooseberrylink.peers.link import Link
 from gooseberrylink.peers.messages import (
     AgentFrame,
@@ -70,6 +71,11 @@
         )
         self._has_failed = False
 
+    @property
+    def metrics(self) -> Metrics:
+        """See SessionOwner."""
+        return self._agent.metrics
+
     @property
     def is_connected(self) -> bool:
         """Whether a link is open and the hellos were exchanged."""
--- a/gooseberrylink/peers/session.py
+++ b/gooseberrylink/peers/session.py
@@ -8,12 +8,14 @@
 
 from gooseberrylink.exceptions import LinkClosedError
 from gooseberrylink.logs import log_event
+from gooseberrylink.metrics import Metrics
 from gooseberrylink.operators.configuration import Configuration
 from gooseberrylink.peers.config_push import ConfigPush
 from gooseberrylink.peers.heartbeat import Heartbeat
 from gooseberrylink.peers.link import Link
 from gooseberrylink.peers.outbox import Outbox
 from gooseberrylink.settings import PeerSettings
+from gooseberrylink.unexpected_errors import record_unexpected_error
 
 
 class SessionOwner(Protocol):
@@ -21,9 +23,11 @@
 
     Attributes:
         name: Name of the worker or entry at the other end, for the log.
+        metrics: Metrics of this process.
     """
 
     name: str
+    metrics: Metrics
 
     def is_busy(self) -> bool:
         """Whether tasks are in progress, so that heartbeats are due more often."""
@@ -112,11 +116,7 @@
                 )
                 return
             except Exception as error:
-                # The other links of this process must stay open. The peers exchange
-                # the state of their tasks when they have reconnected.
-                log_event(
-                    "frame_failed", "ERROR", peer=self._owner.name, error=repr(error)
-                )
+                self._record_failure("frame_received", error)
                 return
             data = None
             self._heartbeat.record_frame()
@@ -133,3 +133,17 @@
             except LinkClosedError:
                 self._owner.return_unsent(items)
                 return
+            except Exception as error:
+                self._record_failure("frame_sent", error)
+                self._owner.return_unsent(items)
+                self.link.close()
+                return
+
+    def _record_failure(self, step: str, error: Exception) -> None:
+        """Records an error after which this link ends.
+
+        The other links of this process stay open. The peers exchange the state of
+        their tasks when they have reconnected.
+        """
+        owner = self._owner
+        record_unexpected_error(owner.metrics, step, error, peer=owner.name)
--- a/gooseberrylink/platform/agent_program.py
+++ b/gooseberrylink/platform/agent_program.py
@@ -49,8 +49,8 @@
     def __init__(self, settings: Settings, path: pathlib.Path):
         self._settings = settings
         self._path = path
-        self._store = PlatformStore(settings.platform.address)
         self._agent = Agent(_agent_settings(settings), TcpDialer())
+        self._store = PlatformStore(settings.platform.address, self._agent.metrics)
         self._stop = trio.Event()
         self._started_s = trio.current_time()
         self._started_unix_ms = time.time_ns() // 1_000_000
@@ -68,7 +68,9 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(agent.run)
             nursery.start_soon(
-                announcement_store.restore, _make_run_client, self._make_fencing_token()
+                announcement_store.restore,
+                self._make_run_client,
+                self._make_fencing_token(),
             )
             nursery.start_soon(announcement_store.run)
             nursery.start_soon(watch_entries, self._store, agent)
@@ -103,7 +105,7 @@
             lease_s=min(LEASE_S, bounds.hold_max_ms / 1000),
             max_stop_s=bounds.stop_ms / 1000,
         )
-        client = _make_run_client(announcement)
+        client = self._make_run_client(announcement)
         agent = self._agent
         return LeasedBackendClient(
             client,
@@ -113,6 +115,11 @@
             agent,
         )
 
+    def _make_run_client(self, announcement: Announcement) -> PlatformRunClient:
+        return PlatformRunClient(
+            announcement.address, announcement.incarnation, self._agent.metrics
+        )
+
     def _make_fencing_token(self) -> int:
         """Returns a fencing token that is higher for each later client of the agent.
 
@@ -123,10 +130,6 @@
         return self._started_unix_ms + round(1000 * elapsed_s)
 
 
-def _make_run_client(announcement: Announcement) -> PlatformRunClient:
-    return PlatformRunClient(announcement.address, announcement.incarnation)
-
-
 def _agent_settings(settings: Settings) -> AgentSettings:
     return AgentSettings(
         worker=settings.node,
--- a/gooseberrylink/platform/entry_program.py
+++ b/gooseberrylink/platform/entry_program.py
@@ -45,8 +45,8 @@
     def __init__(self, settings: Settings, path: pathlib.Path):
         self._settings = settings
         self._path = path
-        self._store = PlatformStore(settings.platform.address)
         metrics = Metrics("entry", settings.node)
+        self._store = PlatformStore(settings.platform.address, metrics)
         source = ChangeFeedSource(self._store, settings.zones, metrics)
         components = EntryComponents(
             lambda entry: JobApi(entry).app, source, self._run_background_tasks
--- a/gooseberrylink/platform/http_client.py
+++ b/gooseberrylink/platform/http_client.py
@@ -5,6 +5,9 @@
 import httpcore
 import trio
 
+from gooseberrylink.metrics import Metrics
+from gooseberrylink.unexpected_errors import record_unexpected_error
+
 _KEEPALIVE_S = 60.0
 
 
@@ -24,7 +27,8 @@
     last and checks only that one.
     """
 
-    def __init__(self, address: str):
+    def __init__(self, address: str, metrics: Metrics | None = None):
+        self._metrics = metrics or Metrics("http_client", address)
         self._base_url = f"http://{address}"
         self._origin = httpcore.URL(self._base_url).origin
         self._idle: list[httpcore.AsyncHTTPConnection] = []
@@ -40,14 +44,31 @@
         """Sends a request.
 
         Returns:
-            The response; None after a timeout or a connection error, in which case
-            the server may have carried out the request.
+            The response; None after a timeout or any error, in which case the server
+            may have carried out the request.
         """
+        try:
+            return await self._call(method, path, timeout_s, body, headers or {})
+        except Exception as error:
+            # Nothing but the connection was in use, and that is closed.
+            record_unexpected_error(
+                self._metrics, "http_request", error, url=self._base_url + path
+            )
+            return None
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        timeout_s: float,
+        body: bytes,
+        headers: dict[str, str],
+    ) -> Response | None:
         all_headers = {
             "Host": self._base_url.removeprefix("http://"),
             "Content-Type": "application/json",
             "Content-Length": str(len(body)),
-            **(headers or {}),
+            **headers,
         }
         request = httpcore.Request(
             method, self._base_url + path, headers=all_headers, content=body
--- a/gooseberrylink/platform/run_client.py
+++ b/gooseberrylink/platform/run_client.py
@@ -14,6 +14,7 @@
     StartReply,
 )
 from gooseberrylink.logs import log_event
+from gooseberrylink.metrics import Metrics
 from gooseberrylink.platform.http_client import HttpClient, Response
 
 # A backend server responds within milliseconds; one that takes longer may still carry
@@ -127,10 +128,11 @@
         address: host:port at which the backend server accepts runs.
         instance_id: Id of the backend server's incarnation; another incarnation
             refuses the requests.
+        metrics: Counters of the agent.
     """
 
-    def __init__(self, address: str, instance_id: str):
-        self._client = HttpClient(address)
+    def __init__(self, address: str, instance_id: str, metrics: Metrics | None = None):
+        self._client = HttpClient(address, metrics)
         self._headers = {"X-Expect-Instance": instance_id}
 
     def make_run_key(self, payload: Any, attempt: int) -> RunKey:
--- a/gooseberrylink/platform/store.py
+++ b/gooseberrylink/platform/store.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from gooseberrylink.logs import log_event
+from gooseberrylink.metrics import Metrics
 from gooseberrylink.platform.http_client import HttpClient, Response
 from gooseberrylink.store import Rows, StoredRow, StoreErrorKind
 
@@ -53,8 +54,8 @@
     `from` is the first key of a range, and `target` is the first key after it.
     """
 
-    def __init__(self, address: str):
-        self._client = HttpClient(address)
+    def __init__(self, address: str, metrics: Metrics | None = None):
+        self._client = HttpClient(address, metrics)
 
     async def read_table(self, table: str) -> Rows | StoreErrorKind:
         """See RowStore."""
