Fail the jobs of an entry that was suspended for longer than a lease

Cause: the entry took it that the callers of its jobs were connected once it had read what waited in its sockets. A disconnect that was lost in a cut comes later, and a cut within a suspension leaves no trace.

Ruled out: telling such a suspension from a freeze alone by the links to agents. Frames that a cut holds up arrive after it, and agents close a silent link after 1.0 s.

Change: once settled, the entry fails the jobs that are not complete. It refuses jobs that it reads before, as they may have waited for as long. Results that waited count.

--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -128,7 +128,8 @@
             self._admission.startup_grace_ends_s = trio.current_time() + agents_back_s
             task_status.started()
             while True:
-                await self._suspension.wait_for_tick()
+                if await self._suspension.wait_for_tick():
+                    self._fail_jobs_of_suspension()
                 nursery.start_soon(self._advance_watermark)
                 if self._is_any_agent_connected():
                     await self._isolation.check_silence()
@@ -158,6 +159,7 @@
         pool = self._pools.get(request.service) or ServicePool(request.service)
         pool.min_slowdown = self._policy.min_slowdown(pool.peers)
         time_left_s = self.shutdown_deadline_s - now_s
+        self._check_age(request)
         self._check_unconfirmed_starts(request, now_s)
         self._admission.check(
             request, pool, entry_count, now_s, self.is_draining, time_left_s
@@ -177,6 +179,18 @@
             pool.record_task_units(spec.resources.units)
         return job
 
+    def _check_age(self, request: JobRequest) -> None:
+        """Refuses a job that may have waited in a socket during a suspension.
+
+        Its caller may have left unnoticed since; see _fail_jobs_of_suspension().
+        """
+        if request.rerun_policy is not None and self._suspension.is_settling():
+            raise RefusedError(
+                Code.NOT_READY,
+                f"entry {self.settings.entry} has just resumed from a suspension",
+                0.0,
+            )
+
     def _check_unconfirmed_starts(self, request: JobRequest, now_s: float) -> None:
         """Refuses a job of which an earlier submission may still start a task."""
         names = [task.name for task in request.tasks]
@@ -469,17 +483,36 @@
         their runs have ended with the leases.
         """
         stale_before_s = trio.current_time() - self.settings.lease_s
-        stale = [
+        stale = self._find_rerunnable_jobs(stale_before_s)
+        log_event("entry_reachable", "WARNING", failed_jobs=len(stale))
+        self._metrics.add("jobs_given_up_after_isolation", amount=len(stale))
+        self._fail_stale_jobs(stale, "the entry was cut off from all agents")
+
+    def _fail_jobs_of_suspension(self) -> None:
+        """Fails the jobs that may have been submitted to another entry meanwhile.
+
+        A suspended entry notices no cut, and frames that agents sent before or after
+        one look as after a suspension alone. All results that arrived in time have been
+        handled, and all runs without one have ended with the leases.
+        """
+        stale = self._find_rerunnable_jobs(trio.current_time())
+        log_event("entry_settled", failed_jobs=len(stale))
+        self._metrics.add("jobs_given_up_after_suspension", amount=len(stale))
+        self._fail_stale_jobs(stale, "the entry was suspended")
+
+    def _find_rerunnable_jobs(self, submitted_before_s: float) -> list[Job]:
+        """Returns the jobs that their callers may submit again without an answer."""
+        return [
             job
             for job in self.jobs.values()
-            if job.request.rerun_policy is not None and job.submitted_s < stale_before_s
+            if job.request.rerun_policy is not None
+            and job.submitted_s < submitted_before_s
         ]
-        log_event("entry_reachable", "WARNING", failed_jobs=len(stale))
-        for job in stale:
+
+    def _fail_stale_jobs(self, jobs: list[Job], detail: str) -> None:
+        for job in jobs:
             is_unassigned = job.is_unassigned()
             self._withdraw_tasks(job)
-            self._metrics.add("jobs_given_up_after_isolation")
-            detail = "the entry was cut off from all agents"
             if is_unassigned:
                 self._fail(
                     job, Answer(Code.NO_BACKEND_SERVER, detail, retry_after_s=0.0)
--- a/gooseberrylink/suspension.py
+++ b/gooseberrylink/suspension.py
@@ -32,17 +32,24 @@
         """
         return self._ticks_left > 0 or self._silence_s() > self._min_suspension_s
 
-    async def wait_for_tick(self) -> None:
-        """Waits for the next tick; called in a loop for as long as the entry runs."""
+    async def wait_for_tick(self) -> bool:
+        """Waits for the next tick; called in a loop for as long as the entry runs.
+
+        Returns:
+            Whether the entry has settled with this tick.
+        """
         self._last_tick_s = min(self._last_tick_s, trio.current_time())
         await trio.sleep(_SETTLING_TICK_S if self._ticks_left else _TICK_S)
         suspended_s = self._silence_s()
         if suspended_s > self._min_suspension_s:
             log_event("entry_resumed", "WARNING", suspended_s=suspended_s)
             self._ticks_left = _SETTLING_TICKS
-        elif self._ticks_left:
-            self._ticks_left -= 1
+            has_settled = False
+        else:
+            has_settled = self._ticks_left == 1
+            self._ticks_left = max(0, self._ticks_left - 1)
         self._last_tick_s = trio.current_time()
+        return has_settled
 
     def _silence_s(self) -> float:
         """Returns the time since the last tick; -inf before the first call."""
