Announce starts in doubt although their agents are connected

Seen: a start got no reply, its worker was cut off, and the job was sent again to another entry after a 504.

Cause: entries learned of a start that may still take effect only when the link to its agent closed. Here the agent was connected, and alone knew that neither the start nor its stop was confirmed.

Ruled out: the entry of the job as the one that tells.

Change: an agent tells its entries 0.55 s after a start without a reply if its run has not ended, and withdraws this once it certainly has.

test_later_client_has_a_higher_fencing_token_* patches the client at its new place.

--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -43,6 +43,7 @@
     Result,
     Revoke,
     Status,
+    UnconfirmedStart,
 )
 from gooseberrylink.rendezvous import choose_by_rendezvous_hash
 from gooseberrylink.resources import NO_RESOURCES, Resources
@@ -100,6 +101,9 @@
         self._runs_lost_in_silence: collections.deque[LostRun] = collections.deque(
             maxlen=_MAX_RUNS_LOST_IN_SILENCE
         )
+        # Starts whose effect is unknown, by assignment id, with the times by which they
+        # can have none.
+        self._unconfirmed_starts: dict[str, tuple[UnconfirmedStart, float]] = {}
         self._customer_demands = CustomerDemandTable()
         self._backend: BackendClient | None = None
         self._announcement: Announcement | None = None
@@ -332,7 +336,7 @@
         if frame.unconfirmed_starts:
             for other_peer in self._peers.values():
                 if other_peer is not peer:
-                    other_peer.pass_on_unconfirmed_starts(frame.unconfirmed_starts)
+                    other_peer.send_unconfirmed_starts(frame.unconfirmed_starts)
         for item in frame.items:
             match item:
                 case Assign():
@@ -466,6 +470,8 @@
         now_s = trio.current_time()
         self._free_slot(peer, record, now_s)
         self._record_outcome(record, assign, outcome, now_s)
+        if outcome.status is not Status.MAY_HAVE_RUN:
+            self._withdraw_unconfirmed_start(record.assignment_id)
         if outcome.is_backend_lost and assign.task_name:
             lost_run = LostRun(
                 assign.task_name,
@@ -533,6 +539,54 @@
             self._record_failure(assign, now_s)
         self._update_task_limit()
 
+    def handle_start_unconfirmed(self, task_id: str) -> None:
+        """Tells all entries that a start may still take effect.
+
+        The job may be sent again to any of them, also if its own entry ends before it
+        learns of this.
+        """
+        left_s = self.settings.max_late_start_s
+        for record in self._find_running(task_id):
+            assign = record.assign
+            if not (assign.task_name and left_s):
+                continue
+            start = UnconfirmedStart(
+                assign.task_name,
+                assign.assignment_id,
+                self.settings.worker,
+                self.incarnation,
+                left_s,
+            )
+            end_s = trio.current_time() + left_s
+            self._unconfirmed_starts[assign.assignment_id] = start, end_s
+            self.metrics.add("starts_unconfirmed")
+            log_event("start_unconfirmed", task=assign.task_name)
+            self._send_unconfirmed_start(start)
+
+    def _withdraw_unconfirmed_start(self, assignment_id: str) -> None:
+        """Tells all entries that a start can no longer take effect, if they wait."""
+        unconfirmed = self._unconfirmed_starts.pop(assignment_id, None)
+        if unconfirmed is not None:
+            start, _ = unconfirmed
+            self._send_unconfirmed_start(msgspec.structs.replace(start, left_s=0.0))
+
+    def _send_unconfirmed_start(self, start: UnconfirmedStart) -> None:
+        for peer in self._peers.values():
+            peer.send_unconfirmed_starts([start])
+
+    def unconfirmed_starts(self) -> list[UnconfirmedStart]:
+        """Returns this agent's starts that may still take effect."""
+        now_s = trio.current_time()
+        self._unconfirmed_starts = {
+            assignment_id: (start, end_s)
+            for assignment_id, (start, end_s) in self._unconfirmed_starts.items()
+            if end_s > now_s
+        }
+        return [
+            msgspec.structs.replace(start, left_s=end_s - now_s)
+            for start, end_s in self._unconfirmed_starts.values()
+        ]
+
     def handle_start_in_doubt(self, task_id: str, is_crash_suspect: bool) -> None:
         """Reports a run that may have been lost before its start was confirmed.
 
--- a/gooseberrylink/backends/client.py
+++ b/gooseberrylink/backends/client.py
@@ -152,6 +152,13 @@
     def handle_start_confirmed(self, task_id: str) -> None:
         """Handles that the backend server has shown that it started a task."""
 
+    def handle_start_unconfirmed(self, task_id: str) -> None:
+        """Handles that neither a start nor its stop has a reply, a moment after them.
+
+        Args:
+            task_id: Id of the task.
+        """
+
     def handle_start_in_doubt(self, task_id: str, is_crash_suspect: bool) -> None:
         """Handles that a start has no reply, and that the last lease has ended.
 
--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -88,6 +88,9 @@
         max_stall_s: Time without progress after which a single run is stopped.
             The longest tasks take 15 s, so their progress, which is reported in
             hundredths, rises every 0.15 s.
+        max_unconfirmed_s: Time after a start without a reply at which its owner is told
+            if it may still take effect. Most are stopped before. The job of the task
+            may be sent again 1.3 s after the start.
         margin_s: Safety margin that is added to the computed end of a lease.
     """
 
@@ -101,6 +104,7 @@
     hung_s: float = 0.2
     wait_while_stalled_s: float = 0.05
     max_stall_s: float = 0.4
+    max_unconfirmed_s: float = 0.55
     margin_s: float = 0.05
 
     def max_duration_s(self, lease_s: float) -> float:
@@ -347,6 +351,8 @@
             self._unanswered_start_count += 1
             run.is_evidence = self._unanswered_start_count > _MAX_LOST_STARTS
             self._stop_soon(run)
+            if self._nursery is not None:
+                self._nursery.start_soon(self._report_if_unconfirmed, run)
         elif run.started_s is None:
             is_evidence = reply is StartReply.UNHEALTHY
             return _refusal(reply.value, is_evidence)
@@ -428,6 +434,13 @@
             run.is_stopping = True
             self._nursery.start_soon(self._stop, run)
 
+    async def _report_if_unconfirmed(self, run: _Run) -> None:
+        """Reports a start without a reply if its stop is not confirmed soon either."""
+        with trio.move_on_after(self._settings.max_unconfirmed_s):
+            await run.ended.wait()
+        if run.end is None:
+            self._owner.handle_start_unconfirmed(run.task_id)
+
     async def _stop(self, run: _Run) -> None:
         """Requests the stop of a run until one request is confirmed or the run ends.
 
--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -54,8 +54,8 @@
 # A queue that is not empty for longer is stalled: most tasks are shorter than this, so
 # their results would have freed slots by then.
 _QUEUE_STALLED_S = 1.0
-# An agent that was killed or frozen is usually back within seconds, long before a late
-# start can be ruled out without it.
+# An agent that was killed or frozen, or a silent worker, is usually back within
+# seconds, long before a late start can be ruled out without it.
 _MAX_RETRY_AFTER_PENDING_S = 2.0
 # Lag of the event loop that does not shorten the leases of an entry.
 _TOLERATED_LAG_S = 0.1
@@ -108,8 +108,8 @@
         self._leases_end_s: dict[AgentPeer, float] = {}
         # The same for their starts without a known confirmation, which may be late.
         self._late_starts_end_s: dict[AgentPeer, float] = {}
-        # Starts of all entries whose agents are away; and those of this entry alone,
-        # with the times by which they can have no effect.
+        # Starts that may still take effect, as all processes report them; and those of
+        # this entry whose agents are away, with the times by which they can have none.
         self._unconfirmed_starts = UnconfirmedStarts()
         self._announced_starts: dict[str, tuple[UnconfirmedStart, float]] = {}
         # An entry that was suspended for longer than its leases may have jobs that
@@ -196,12 +196,7 @@
         names = [task.name for task in request.tasks]
         left_s = self._unconfirmed_starts.left_s(names, now_s)
         if left_s > 0:
-            raise RefusedError(
-                Code.EARLIER_START_PENDING,
-                "a task of an earlier submission may still start, at a worker whose"
-                f" agent is away, within the next {left_s:.1f} s",
-                min(left_s, _MAX_RETRY_AFTER_PENDING_S),
-            )
+            raise _earlier_start_pending(left_s)
 
     async def run_job(self, job: Job) -> Answer:
         """Runs an admitted job; returns all its results, or one code."""
@@ -626,9 +621,36 @@
             trio.current_time(),
         )
 
-    def record_unconfirmed_start(self, start: UnconfirmedStart) -> None:
-        """Records a start of another entry; see EntryFrame."""
-        self._unconfirmed_starts.record(start, trio.current_time())
+    def record_unconfirmed_start(
+        self, start: UnconfirmedStart, reporter: AgentPeer
+    ) -> None:
+        """Records a start that an agent reported, or that it passed on.
+
+        Only those of its own are shared, as the others come from an entry that shares
+        them itself.
+        """
+        is_new = self._unconfirmed_starts.record(start, trio.current_time())
+        if not is_new:
+            return
+        if start.left_s > 0:
+            self._refuse_queued_jobs(start)
+        if (start.worker, start.incarnation) == (reporter.worker, reporter.incarnation):
+            for peer in self._all_peers():
+                if peer is not reporter:
+                    peer.share_unconfirmed_starts([start])
+
+    def _refuse_queued_jobs(self, start: UnconfirmedStart) -> None:
+        """Refuses jobs that were admitted before an earlier start became known."""
+        for pool in self.pools():
+            for task in pool.queue.find(start.task_name):
+                is_own_start = start.assignment_id.startswith(f"{task.task_id}.")
+                if task.job.is_unassigned() and not is_own_start:
+                    self._withdraw_tasks(task.job)
+                    error = _earlier_start_pending(start.left_s)
+                    self._fail(
+                        task.job,
+                        Answer(error.code, error.detail, None, error.retry_after_s),
+                    )
 
     def _rerun(self, task: Task, reason: str) -> bool:
         """Queues a task again whose last run has certainly ended.
@@ -950,6 +972,15 @@
             self._requeue(task)
 
 
+def _earlier_start_pending(left_s: float) -> RefusedError:
+    return RefusedError(
+        Code.EARLIER_START_PENDING,
+        "a task of an earlier submission may still start, at a worker that has not"
+        f" confirmed it, within the next {left_s:.1f} s",
+        min(left_s, _MAX_RETRY_AFTER_PENDING_S),
+    )
+
+
 def _pop_ended(ends_s: dict[AgentPeer, float]) -> list[tuple[AgentPeer, float]]:
     """Removes agents whose time has come or that are connected; returns the former."""
     now_s = trio.current_time()
--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -443,7 +443,7 @@
         for lost_run in frame.lost_runs:
             self._entry.dispatcher.record_lost_run(lost_run, reporter=self)
         for start in frame.unconfirmed_starts:
-            self._entry.dispatcher.record_unconfirmed_start(start)
+            self._entry.dispatcher.record_unconfirmed_start(start, reporter=self)
         for assignment_id in frame.started_ids:
             if assignment_id in self.tasks_in_flight:
                 self.tasks_in_flight[assignment_id].is_start_confirmed = True
--- a/gooseberrylink/peers/entry_peer.py
+++ b/gooseberrylink/peers/entry_peer.py
@@ -159,6 +159,7 @@
         )
         self._unsent_started_ids = self._agent.started_ids(self.incarnation)
         self._unsent_starts.clear()
+        self._unsent_starts.extend(self._agent.unconfirmed_starts())
         log_event("entry_connected", entry=hello.entry, address=self.address)
         self._agent.handle_entry_connected(self)
         # The old link may have lost results or their acknowledgements.
@@ -193,8 +194,11 @@
         if self.is_connected:
             self._unsent_started_ids.append(assignment_id)
 
-    def pass_on_unconfirmed_starts(self, starts: list[UnconfirmedStart]) -> None:
-        """Sends another entry's unconfirmed starts with the next frame."""
+    def send_unconfirmed_starts(self, starts: list[UnconfirmedStart]) -> None:
+        """Sends unconfirmed starts of this agent or another entry with the next frame.
+
+        Those of this agent are repeated on a new link.
+        """
         if self.is_connected:
             self._unsent_starts.extend(starts)
             self.outbox.wake_sender()
--- a/gooseberrylink/peers/messages.py
+++ b/gooseberrylink/peers/messages.py
@@ -170,7 +170,9 @@
 
 
 class UnconfirmedStart(msgspec.Struct, array_like=True, frozen=True):
-    """A start without a known confirmation whose agent is away.
+    """A start without a known confirmation that may still take effect.
+
+    Either its agent is away, or the agent gets no reply to the start and its stop.
 
     Attributes:
         task_name: See Assign.
--- a/gooseberrylink/platform/agent_program.py
+++ b/gooseberrylink/platform/agent_program.py
@@ -16,6 +16,7 @@
 from gooseberrylink.peers.tcp_link import TcpDialer
 from gooseberrylink.platform.common import (
     EARLIER_RUNS_END_S,
+    MAX_LATE_START_S,
     MAX_RUN_AFTER_LEASE_S,
     RERUN_AFTER_AGENT_END_S,
     RESPONSE_FLUSH_S,
@@ -143,5 +144,6 @@
         dial_after_s=RERUN_AFTER_AGENT_END_S,
         earlier_runs_end_s=EARLIER_RUNS_END_S,
         max_run_after_lease_s=MAX_RUN_AFTER_LEASE_S,
+        max_late_start_s=MAX_LATE_START_S,
         **link_settings(),
     )
--- a/gooseberrylink/settings.py
+++ b/gooseberrylink/settings.py
@@ -33,6 +33,9 @@
         max_misses: Heartbeat intervals without a frame after which a link is closed.
         demand_valid_s: How long an agent relies on the demand that an entry reported.
         drain_s: How long a shutdown waits for work in progress.
+        max_late_start_s: How late a backend server may execute a start, and the lease
+            that the run then gets. Tasks that are not known to have started are kept
+            from a rerun for this time. 0 for backend servers that execute none late.
     """
 
     data_centre: Name
@@ -42,6 +45,7 @@
     max_misses: int = Field(default=3, ge=2)
     demand_valid_s: Seconds = 2.0
     drain_s: Seconds = 30.0
+    max_late_start_s: float = Field(default=0.0, ge=0)
     log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
     @model_validator(mode="after")
@@ -159,10 +163,6 @@
             tasks have ended, because the leases of the agent and then of the
             backend server have expired. The tasks may then be rerun, if they have
             started.
-        max_late_start_s: How much longer tasks are kept from a rerun of which the
-            entry does not know that they have started: how late a backend server
-            may execute a start, and the lease that the run then gets. 0 for backend
-            servers that execute none late.
         agents_back_s: Time after its start during which an entry accepts jobs even
             if no agent is connected yet.
         remote_factor: Factor by which a task takes longer on another rack than on
@@ -184,6 +184,5 @@
     retry_share: float = Field(default=0.5, ge=0)
     body_timeout_s: Seconds = 10.0
     rerun_after_silence_s: Seconds = 30.0
-    max_late_start_s: float = Field(default=0.0, ge=0)
     agents_back_s: float = Field(default=0.0, ge=0)
     remote_factor: float = Field(default=1.0, ge=1)
--- a/gooseberrylink/standins/leased_backend.py
+++ b/gooseberrylink/standins/leased_backend.py
@@ -357,6 +357,9 @@
     def handle_start_confirmed(self, task_id: str) -> None:
         """See BackendOwner."""
 
+    def handle_start_unconfirmed(self, task_id: str) -> None:
+        """See BackendOwner."""
+
     def handle_start_in_doubt(self, task_id: str, is_crash_suspect: bool) -> None:
         """See BackendOwner."""
 
--- a/gooseberrylink/unconfirmed_starts.py
+++ b/gooseberrylink/unconfirmed_starts.py
@@ -1,9 +1,10 @@
-"""Remembers starts that may still take effect although their agents are away.
+"""Remembers starts that may still take effect although nothing can stop them.
 
 A backend server may execute a start without a reply seconds later. If the agent that
-requested it is killed, frozen or cut off, nothing stops that run, and the job may
-meanwhile be submitted again. The entry that assigned the task therefore tells the other
-entries through its agents; none accepts the job before the start can have no effect.
+requested it is killed, frozen or cut off, or can't reach the backend server, nothing
+stops that run, and the job may meanwhile be submitted again. The entry that assigned
+the task, or the agent, therefore tells the other entries through the agents; none
+accepts the job before the start can have no effect.
 """
 
 import collections
@@ -18,7 +19,7 @@
 
 
 class UnconfirmedStarts:
-    """The starts of all entries that may still take effect, by task."""
+    """The starts of all processes that may still take effect, by task."""
 
     def __init__(self):
         # Starts with the times by which they can have no effect, by assignment.
@@ -27,11 +28,19 @@
         )
         self._ids_by_task: dict[str, set[str]] = {}
 
-    def record(self, start: UnconfirmedStart, now_s: float) -> None:
-        """Adds a start, or changes the time by which it can have no effect."""
+    def record(self, start: UnconfirmedStart, now_s: float) -> bool:
+        """Adds a start, or changes the time by which it can have no effect.
+
+        Returns:
+            Whether it was not known that the start may have an effect, or that it can
+            have none.
+        """
         self._forget_old(now_s)
+        known = self._recorded.get(start.assignment_id)
+        was_pending = known is not None and known[1] > now_s
         self._recorded[start.assignment_id] = (start, now_s + start.left_s)
         self._ids_by_task.setdefault(start.task_name, set()).add(start.assignment_id)
+        return was_pending != (start.left_s > 0)
 
     def handle_agent_restart(
         self, worker: str, incarnation: str, left_s: float, now_s: float
--- a/tests/test_agent_restart.py
+++ b/tests/test_agent_restart.py
@@ -502,7 +502,9 @@
     async def main():
         async with trio.open_nursery() as nursery:
             worker = FakeLeasedBackend("tank-1", nursery)
-            monkeypatch.setattr(agent_program, "_make_run_client", lambda _: worker)
+            monkeypatch.setattr(
+                agent_program.AgentProgram, "_make_run_client", lambda *_: worker
+            )
             monkeypatch.setattr(agent_program.time, "time_ns", lambda: UNIX_TIME_NS)
             program = agent_program.AgentProgram(platform_settings, tmp_path)
             tokens = []
--- a/tests/test_schedules.py
+++ b/tests/test_schedules.py
@@ -187,3 +187,19 @@
     # Against the assumption about late requests in leased.py.
     schedule = (Event(LATE_RENEWAL, 0.4), Event("worker silent 4.0", 0.95))
     assert find_overlaps([schedule], platform_settings) == []
+
+
+@pytest.mark.parametrize("left", ["caller's channel breaks", "entry killed"])
+@pytest.mark.parametrize("left_s", [0.1, 0.43, 1.0])
+@pytest.mark.parametrize("late", ["starts 1.5 late, fresh", "starts 3.0 late, fresh"])
+def test_task_does_not_run_beside_a_late_start_at_a_worker_that_is_cut_off(
+    platform_settings, late, left_s, left
+):
+    # Guards against two runs of a job that is sent again: its agent is connected, and
+    # no request reaches the worker.
+    schedule = (
+        Event(late, -0.01),
+        Event(left, left_s),
+        Event("worker silent 4.0", 0.1),
+    )
+    assert find_overlaps([schedule], platform_settings) == []
