--- a/gooseberrylink/callers/disconnects.py
+++ b/gooseberrylink/callers/disconnects.py
@@ -7,6 +7,7 @@
 from gooseberrylink.entry import Entry
 from gooseberrylink.logs import log_event
 from gooseberrylink.types import Answer, JobRequest
+from gooseberrylink.unexpected_errors import record_unexpected_error
 
 # Rounds of the event loop in which a disconnect that has already arrived cancels the
 # job: the connection is read, and the disconnect passes through two tasks.
@@ -34,11 +35,11 @@
         try:
             answer = await entry.submit(job)
         except Exception as error:
-            log_event("job_crashed", "ERROR", job=job.job_id, error=repr(error))
+            record_unexpected_error(entry.metrics, "job", error, job=job.job_id)
             answer = Answer(
                 Code.INTERNAL_ERROR,
                 f"entry {entry.settings.entry} failed with an unexpected error; its log"
-                " has the event job_crashed",
+                " has the event unexpected_error",
             )
         nursery.cancel_scope.cancel()
     return answer
