Keep announced starts in one class at entries and agents

The agent's list of the starts that it has announced was a copy of the entry's: add, withdraw with a notice, and list those that may still take effect. Both now use AnnouncedStarts, beside UnconfirmedStarts, which remembers those of others.

Behaviour is unchanged, and so are the tests.

--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -49,6 +49,7 @@
 from gooseberrylink.resources import NO_RESOURCES, Resources
 from gooseberrylink.settings import AgentSettings
 from gooseberrylink.slot_allocator import SlotAllocator
+from gooseberrylink.unconfirmed_starts import AnnouncedStarts
 
 _MAINTENANCE_INTERVAL_S = 0.2
 _MIN_MAINTENANCE_INTERVAL_S = 0.02
@@ -101,9 +102,7 @@
         self._runs_lost_in_silence: collections.deque[LostRun] = collections.deque(
             maxlen=_MAX_RUNS_LOST_IN_SILENCE
         )
-        # Starts whose effect is unknown, by assignment id, with the times by which they
-        # can have none.
-        self._unconfirmed_starts: dict[str, tuple[UnconfirmedStart, float]] = {}
+        self._announced_starts = AnnouncedStarts()
         self._customer_demands = CustomerDemandTable()
         self._backend: BackendClient | None = None
         self._announcement: Announcement | None = None
@@ -557,18 +556,16 @@
                 self.incarnation,
                 left_s,
             )
-            end_s = trio.current_time() + left_s
-            self._unconfirmed_starts[assign.assignment_id] = start, end_s
+            self._announced_starts.add(start, trio.current_time())
             self.metrics.add("starts_unconfirmed")
             log_event("start_unconfirmed", task=assign.task_name)
             self._send_unconfirmed_start(start)
 
     def _withdraw_unconfirmed_start(self, assignment_id: str) -> None:
         """Tells all entries that a start can no longer take effect, if they wait."""
-        unconfirmed = self._unconfirmed_starts.pop(assignment_id, None)
-        if unconfirmed is not None:
-            start, _ = unconfirmed
-            self._send_unconfirmed_start(msgspec.structs.replace(start, left_s=0.0))
+        withdrawal = self._announced_starts.withdraw(assignment_id)
+        if withdrawal is not None:
+            self._send_unconfirmed_start(withdrawal)
 
     def _send_unconfirmed_start(self, start: UnconfirmedStart) -> None:
         for peer in self._peers.values():
@@ -576,16 +573,7 @@
 
     def unconfirmed_starts(self) -> list[UnconfirmedStart]:
         """Returns this agent's starts that may still take effect."""
-        now_s = trio.current_time()
-        self._unconfirmed_starts = {
-            assignment_id: (start, end_s)
-            for assignment_id, (start, end_s) in self._unconfirmed_starts.items()
-            if end_s > now_s
-        }
-        return [
-            msgspec.structs.replace(start, left_s=end_s - now_s)
-            for start, end_s in self._unconfirmed_starts.values()
-        ]
+        return self._announced_starts.pending(trio.current_time())
 
     def handle_start_in_doubt(self, task_id: str, is_crash_suspect: bool) -> None:
         """Reports a run that may have been lost before its start was confirmed.
--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -5,7 +5,6 @@
 import random
 from collections.abc import Iterator
 
-import msgspec
 import trio
 
 from gooseberrylink.admission import Admission
@@ -35,7 +34,7 @@
 from gooseberrylink.success_rates import CustomerSuccessRates
 from gooseberrylink.suspension import SuspensionMonitor
 from gooseberrylink.types import Answer, Job, JobRequest, Task, TaskState
-from gooseberrylink.unconfirmed_starts import UnconfirmedStarts
+from gooseberrylink.unconfirmed_starts import AnnouncedStarts, UnconfirmedStarts
 
 _MAX_RETRY_BUDGET = 50.0
 _RETRY_BACKOFF_S = 0.05
@@ -109,9 +108,9 @@
         # The same for their starts without a known confirmation, which may be late.
         self._late_starts_end_s: dict[AgentPeer, float] = {}
         # Starts that may still take effect, as all processes report them; and those of
-        # this entry whose agents are away, with the times by which they can have none.
+        # this entry whose agents are away.
         self._unconfirmed_starts = UnconfirmedStarts()
-        self._announced_starts: dict[str, tuple[UnconfirmedStart, float]] = {}
+        self._announced_starts = AnnouncedStarts()
         # An entry that was suspended for longer than its leases may have jobs that
         # their callers have submitted to other entries.
         self._suspension = SuspensionMonitor(settings.lease_s)
@@ -584,33 +583,22 @@
             assignment_id: The assignment; others than announced ones are ignored.
             left_s: Time after which it can take no effect.
         """
-        announced = self._announced_starts.pop(assignment_id, None)
-        if announced is not None:
-            start = msgspec.structs.replace(announced[0], left_s=left_s)
-            self._share_unconfirmed_starts([start])
+        withdrawal = self._announced_starts.withdraw(assignment_id, left_s)
+        if withdrawal is not None:
+            self._share_unconfirmed_starts([withdrawal])
 
     def _share_unconfirmed_starts(self, starts: list[UnconfirmedStart]) -> None:
         now_s = trio.current_time()
         for start in starts:
             self._unconfirmed_starts.record(start, now_s)
             if start.left_s > 0:
-                end_s = now_s + start.left_s
-                self._announced_starts[start.assignment_id] = (start, end_s)
+                self._announced_starts.add(start, now_s)
         for peer in self._all_peers():
             peer.share_unconfirmed_starts(starts)
 
     def announced_starts(self) -> list[UnconfirmedStart]:
         """Returns this entry's starts that may take effect while agents are away."""
-        now_s = trio.current_time()
-        self._announced_starts = {
-            assignment_id: (start, end_s)
-            for assignment_id, (start, end_s) in self._announced_starts.items()
-            if end_s > now_s
-        }
-        return [
-            msgspec.structs.replace(start, left_s=end_s - now_s)
-            for start, end_s in self._announced_starts.values()
-        ]
+        return self._announced_starts.pending(trio.current_time())
 
     def shorten_waits_for_starts(self, hello: AgentHello) -> None:
         """Waits no longer for earlier starts of a restarted agent than it says."""
--- a/gooseberrylink/unconfirmed_starts.py
+++ b/gooseberrylink/unconfirmed_starts.py
@@ -10,6 +10,8 @@
 import collections
 from collections.abc import Iterable
 
+import msgspec
+
 from gooseberrylink.peers.messages import UnconfirmedStart
 
 # Starts that wait for one link at most. If there are more, the oldest are left out.
@@ -77,3 +79,44 @@
             of_task.remove(assignment_id)
             if not of_task:
                 del self._ids_by_task[start.task_name]
+
+
+class AnnouncedStarts:
+    """The starts that a process has announced and not withdrawn."""
+
+    def __init__(self):
+        # Starts with the times by which they can have no effect, by assignment.
+        self._announced: dict[str, tuple[UnconfirmedStart, float]] = {}
+
+    def add(self, start: UnconfirmedStart, now_s: float) -> None:
+        """Adds a start that was announced now."""
+        self._announced[start.assignment_id] = start, now_s + start.left_s
+
+    def withdraw(
+        self, assignment_id: str, left_s: float = 0.0
+    ) -> UnconfirmedStart | None:
+        """Removes a start; returns the notice that withdraws it.
+
+        Args:
+            assignment_id: Identifies the assignment of the start.
+            left_s: Time after which it can take no effect.
+
+        Returns:
+            The notice; None if the start was not announced.
+        """
+        announced = self._announced.pop(assignment_id, None)
+        if announced is None:
+            return None
+        return msgspec.structs.replace(announced[0], left_s=left_s)
+
+    def pending(self, now_s: float) -> list[UnconfirmedStart]:
+        """Returns notices of the starts that may still take effect."""
+        self._announced = {
+            assignment_id: (start, end_s)
+            for assignment_id, (start, end_s) in self._announced.items()
+            if end_s > now_s
+        }
+        return [
+            msgspec.structs.replace(start, left_s=end_s - now_s)
+            for start, end_s in self._announced.values()
+        ]
