--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -222,6 +222,9 @@
         self.is_cut = False
         # Set while its health is good but orders get no answer and have no effect.
         self.is_mute = False
+        # Delay of orders to start that get no answer and are carried out late; None
+        # for none.
+        self.late_s = None
         self._server = None
         self._tasks = []
         self.running = {}
@@ -280,6 +283,11 @@
         if self.is_mute and path in ("/run-start", "/run-stop"):
             self.record.write(f"{path} at {self.name} gets no answer")
             await asyncio.sleep(60.0)
+        if self.late_s is not None and path == "/run-start":
+            self.record.write(f"/run-start at {self.name} will be late")
+            asyncio.create_task(self._start_late(json.loads(body), self.late_s))
+            self.late_s = None
+            await asyncio.sleep(60.0)
         if headers.get("x-expect-instance", self.name) != self.name:
             return 421, {}
         fields = json.loads(body)
@@ -299,6 +307,17 @@
             return await self._hold(fields)
         return 404, {}
 
+    async def _start_late(self, fields, delay_s):
+        """Carries out an order late; its time counts from its arrival."""
+        lease_ms = fields["untilMs"] - self.clock_ms()
+        await asyncio.sleep(delay_s)
+        if fields["fencingToken"] < self._token:
+            self.record.write(f"late /run-start at {self.name} is fenced")
+            return
+        self._token = fields["fencingToken"]
+        status, _ = self._start(fields | {"untilMs": self.clock_ms() + lease_ms})
+        self.record.write(f"late /run-start at {self.name}: {status}")
+
     def _extend(self, until_ms):
         until_ms = min(until_ms, self.clock_ms() + HOLD_MAX_MS)
         self._lease_ms = max(self._lease_ms, until_ms)
