An operator can empty a data centre

Nothing read the operator's requests to evacuate a data centre. Entries now read them from the change feed that they watch, and pass them on in frames, as versions that never go back; an agent in such a data centre starts nothing, and entries choose none of its agents.

--- a/gooseberrylink/admission.py
+++ b/gooseberrylink/admission.py
@@ -1,11 +1,14 @@
 """Decides whether a job is admitted, and creates its tasks."""
 
+import math
+
 from gooseberrylink.codes import Code
 from gooseberrylink.exceptions import RefusedError
 from gooseberrylink.operators.configuration import Configuration
 from gooseberrylink.operators.declarations import Customer, Service
 from gooseberrylink.quotas import Quotas
 from gooseberrylink.run_times import RunTimeModel
+from gooseberrylink.scheduling.evacuation import refusal_for_lack_of_room
 from gooseberrylink.service_pool import ServicePool
 from gooseberrylink.types import Job, JobRequest, Task
 from gooseberrylink.wait_limits import wait_limit_s
@@ -188,6 +191,9 @@
     def _check_backends(self, request: JobRequest, pool: ServicePool) -> None:
         """Refuses a job if no backend server is connected or a task fits into none."""
         if not pool.can_serve():
+            evacuated = {peer.data_centre for peer in pool.evacuated_peers()}
+            if evacuated:
+                raise refusal_for_lack_of_room(request.service, evacuated, math.inf)
             detail = (
                 f"no backend server of service {request.service} is connected to this"
                 " entry"
--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -47,6 +47,7 @@
 )
 from gooseberrylink.rendezvous import choose_by_rendezvous_hash
 from gooseberrylink.resources import NO_RESOURCES, Resources
+from gooseberrylink.scheduling.evacuation import RETURN_SLOW_START_TASKS, Evacuations
 from gooseberrylink.settings import AgentSettings
 from gooseberrylink.slot_allocator import SlotAllocator
 from gooseberrylink.unconfirmed_starts import AnnouncedStarts
@@ -75,6 +76,7 @@
         speed: Relative speed at which tasks run at present; 0 if unknown.
         crash_history: Runs that were lost with this agent's backend servers, and
             those that entries passed on.
+        evacuations: The evacuated data centres, as entries report them.
     """
 
     def __init__(
@@ -91,6 +93,7 @@
         self.incarnation = secrets.token_hex(8)
         self.service = ""
         self.configuration = Configuration()
+        self.evacuations = Evacuations(self._handle_evacuation_change)
         self.assignments = AssignmentTable(
             settings.lease_s, settings.retention_s, settings.max_records
         )
@@ -229,12 +232,29 @@
     def _unavailable_reason(self) -> str | None:
         if self.is_draining:
             return "draining"
+        if self._is_evacuated():
+            return "evacuated"
         if self._backend is None:
             return "no_backend"
         if not self._backend.is_open:
             return "backend_not_open"
         return None if self._is_in_inventory() else "not_in_inventory"
 
+    def _is_evacuated(self) -> bool:
+        return self.settings.data_centre in self.evacuations.data_centres
+
+    def _handle_evacuation_change(self, former: frozenset[str]) -> None:
+        """Stops or begins to accept tasks if it concerns this agent's data centre."""
+        is_evacuated = self._is_evacuated()
+        if is_evacuated == (self.settings.data_centre in former):
+            self._wake_all_senders()
+            return
+        event = "agent_evacuated" if is_evacuated else "agent_readmitted"
+        log_event(event, running=len(self._running), held=len(self._held))
+        if not is_evacuated:
+            self.health.begin_slow_start(RETURN_SLOW_START_TASKS)
+        self._update_slots()
+
     def _declared_worker(self) -> Worker | None:
         declarations = self.configuration.declarations
         return declarations.worker(self.settings.worker) if declarations else None
@@ -276,11 +296,8 @@
         The speed is the median over the running tasks, and unknown for fewer than
         two of them.
         """
-        speeds = []
-        for record in self._running.values():
-            progress_per_s = record.backend.progress_per_s(record.assign.task_id)
-            if progress_per_s is not None and record.assign.expected_s > 0:
-                speeds.append(progress_per_s * record.assign.expected_s)
+        speeds = [record.speed() for record in self._running.values()]
+        speeds = [speed for speed in speeds if speed is not None]
         self.speed = statistics.median(speeds) if len(speeds) > 1 else 0.0
 
     # Frames from entries.
@@ -330,7 +347,7 @@
         self.assignments.renew_lease(peer.incarnation, frame.sent_s)
         self.allocator.update_demand(peer.incarnation, frame, now_s)
         peer.quarantined_share = frame.quarantined_share
-        self._aggregate_customer_demands(peer, frame.customer_demands_per_s, now_s)
+        self._customer_demands.aggregate(peer, frame.customer_demands_per_s, now_s)
         self._pass_on_lost_runs(peer, frame.lost_runs, now_s)
         if frame.unconfirmed_starts:
             for other_peer in self._peers.values():
@@ -368,21 +385,9 @@
         """Releases the credits of an entry; its running tasks continue."""
         self.allocator.remove_entry(peer.incarnation)
 
-    def _aggregate_customer_demands(
-        self, peer: EntryPeer, demands: dict[str, float], now_s: float
-    ) -> None:
-        for customer, demand_per_s in demands.items():
-            self._customer_demands.record(
-                customer, peer.incarnation, demand_per_s, now_s
-            )
-            total_demand_per_s = self._customer_demands.total_demand_per_s(
-                customer, now_s
-            )
-            peer.total_customer_demands_per_s[customer] = total_demand_per_s
-            peer.outbox.wake_sender()
-
     def _adopt_configuration(self, update: ConfigUpdate) -> None:
         if self.configuration.adopt(update.version, decompress_update(update), "entry"):
+            self.evacuations.adopt_rules(self.configuration)
             # This also wakes the senders to all entries. Their next frames carry
             # the new version, and entries with an older one receive the update.
             self._update_slots()
@@ -472,13 +477,7 @@
         if outcome.status is not Status.MAY_HAVE_RUN:
             self._withdraw_unconfirmed_start(record.assignment_id)
         if outcome.is_backend_lost and assign.task_name:
-            lost_run = LostRun(
-                assign.task_name,
-                assign.assignment_id,
-                outcome.is_crash_suspect,
-                outcome.is_crash,
-                outcome.is_start_unanswered,
-            )
+            lost_run = outcome.to_lost_run(assign)
             self._report_lost_run(lost_run, now_s)
             if not lost_run.is_crash:
                 self._runs_lost_in_silence.append(lost_run)
@@ -488,6 +487,8 @@
     async def _run_at_backend(self, record: AssignmentRecord) -> BackendOutcome:
         # The process may have been suspended since the task was allowed to start.
         reason = self.assignments.reason_not_to_start(record, trio.current_time())
+        if self._is_evacuated():
+            reason = "evacuated"
         if record.is_stopping:
             # The client could not stop it, because it did not know the task yet.
             reason = "revoked"
@@ -657,7 +658,10 @@
                         peer.report_lost_run(lost_run)
 
     def _record_failure(self, assign: Assign, now_s: float) -> None:
-        if self.health.record_failure(_make_failure(assign), now_s):
+        failure = TaskFailure(
+            assign.customer, assign.job_id, assign.is_customer_reliable
+        )
+        if self.health.record_failure(failure, now_s):
             self.metrics.add("quarantines")
             log_event("quarantine_began", "WARNING", worker=self.settings.worker)
         # Held tasks are more likely to succeed at another agent.
@@ -856,7 +860,3 @@
                 self._long_assignment_ids.add(assignment_id)
                 self.allocator.mark_long(now_s, record.assign.resources)
                 self.metrics.add("overruns")
-
-
-def _make_failure(assign: Assign) -> TaskFailure:
-    return TaskFailure(assign.customer, assign.job_id, assign.is_customer_reliable)
--- a/gooseberrylink/assignment_table.py
+++ b/gooseberrylink/assignment_table.py
@@ -56,6 +56,13 @@
     is_stopping: bool = False
     is_start_confirmed: bool = False
 
+    def speed(self) -> float | None:
+        """Returns how fast the task runs relative to its expected time, if known."""
+        progress_per_s = self.backend.progress_per_s(self.assign.task_id)
+        if progress_per_s is None or self.assign.expected_s <= 0:
+            return None
+        return progress_per_s * self.assign.expected_s
+
 
 class AssignmentTable:
     """The assignments to one incarnation of an agent.
--- a/gooseberrylink/backend_health.py
+++ b/gooseberrylink/backend_health.py
@@ -76,6 +76,7 @@
         self._last_failure_s = -math.inf
         self._has_succeeded = False
         self._first_start_s = math.inf
+        self._slow_start_tasks = policy.slow_start_tasks
         self.is_quarantined = False
         self.quarantined_share = 0.0
 
@@ -97,7 +98,7 @@
             or now_s - self._first_start_s > self._policy.slow_start_s
         ):
             return slots
-        return min(slots, self._policy.slow_start_tasks)
+        return min(slots, self._slow_start_tasks)
 
     def record_start(self, now_s: float) -> None:
         """Records that a task started."""
@@ -155,9 +156,19 @@
 
     def reset(self) -> None:
         """Clears all recorded outcomes, as for a new backend server."""
+        self.begin_slow_start(self._policy.slow_start_tasks)
+        self._end_quarantine()
+
+    def begin_slow_start(self, tasks: int) -> None:
+        """Begins a slow start; a quarantine and recorded failures stay.
+
+        Args:
+            tasks: How many tasks may run at the same time during it, at most
+                slow_start_tasks.
+        """
         self._has_succeeded = False
         self._first_start_s = math.inf
-        self._end_quarantine()
+        self._slow_start_tasks = min(tasks, self._policy.slow_start_tasks)
 
     def _end_quarantine(self) -> None:
         self.is_quarantined = False
--- a/gooseberrylink/backends/client.py
+++ b/gooseberrylink/backends/client.py
@@ -6,7 +6,7 @@
 
 from gooseberrylink.addresses import split_address
 from gooseberrylink.exceptions import MalformedAddressError, MalformedAnnouncementError
-from gooseberrylink.peers.messages import Status
+from gooseberrylink.peers.messages import Assign, LostRun, Status
 
 # Requests carry the incarnation in a header.
 _INCARNATION = re.compile(r"[!-~]{0,200}")
@@ -44,6 +44,16 @@
     is_crash_suspect: bool = False
     is_start_unanswered: bool = False
 
+    def to_lost_run(self, assign: Assign) -> LostRun:
+        """Returns the report of a run that was lost with its backend server."""
+        return LostRun(
+            assign.task_name,
+            assign.assignment_id,
+            self.is_crash_suspect,
+            self.is_crash,
+            self.is_start_unanswered,
+        )
+
 
 @dataclasses.dataclass(slots=True)
 class Announcement:
--- a/gooseberrylink/cmdline.py
+++ b/gooseberrylink/cmdline.py
@@ -15,6 +15,7 @@
     "submit": "gooseberrylink.commands.submit:SubmitCommand",
     "check": "gooseberrylink.commands.configuration:CheckCommand",
     "apply": "gooseberrylink.commands.configuration:ApplyCommand",
+    "evacuate": "gooseberrylink.commands.evacuate:EvacuateCommand",
     "status": "gooseberrylink.commands.inspect:StatusCommand",
     "counters": "gooseberrylink.commands.inspect:CountersCommand",
     "demo": "gooseberrylink.commands.bench:DemoCommand",
--- a/gooseberrylink/commands/configuration.py
+++ b/gooseberrylink/commands/configuration.py
@@ -29,6 +29,18 @@
 }
 _FILE_ARGUMENT = argument("file", "File with declarations (YAML); see examples/")
 _JSON_OPTION = option("json", None, "Print JSON")
+APPLY_OPTIONS = [
+    option("platform", "p", "host:port", flag=False, default="127.0.0.1:7400"),
+    option(
+        "entry",
+        "e",
+        "host:port of an entry to notify at once; may be repeated",
+        flag=False,
+        multiple=True,
+    ),
+    option("timeout", "t", "Timeout in seconds", flag=False, default="10"),
+    _JSON_OPTION,
+]
 
 
 class CheckCommand(Command):
@@ -66,17 +78,8 @@
     )
     arguments = [_FILE_ARGUMENT]
     options = [
-        option("platform", "p", "host:port", flag=False, default="127.0.0.1:7400"),
-        option(
-            "entry",
-            "e",
-            "host:port of an entry to notify at once; may be repeated",
-            flag=False,
-            multiple=True,
-        ),
+        *APPLY_OPTIONS,
         option("base", "b", "Version on which the change is based", flag=False),
-        option("timeout", "t", "Timeout in seconds", flag=False, default="10"),
-        _JSON_OPTION,
     ]
 
     def handle(self) -> int:
@@ -86,14 +89,23 @@
             for message in errors:
                 self.line_error(message)
             return ExitCode.INVALID_FILE
-        return trio.run(self._apply, text)
+        base_version = int(self.option("base")) if self.option("base") else None
+        return trio.run(self.apply, text, base_version)
 
-    async def _apply(self, text: str) -> int:
-        platform = HttpTableServiceClient(
-            self.option("platform"), Metrics("operator", "apply")
+    def open_store(self) -> ConfigurationStore:
+        """Returns the store of the configuration, at the platform's address."""
+        metrics = Metrics("operator", self.name)
+        return ConfigurationStore(
+            HttpTableServiceClient(self.option("platform"), metrics)
         )
-        store = ConfigurationStore(platform)
-        base_version = int(self.option("base")) if self.option("base") else None
+
+    async def apply(self, text: str, base_version: int | None) -> int:
+        """Applies declarations in canonical form, prints the result, notifies entries.
+
+        Returns:
+            The exit code.
+        """
+        store = self.open_store()
         result = await store.apply(
             text, secrets.token_hex(8), base_version, float(self.option("timeout"))
         )
--- a/gooseberrylink/commands/exit_codes.py
+++ b/gooseberrylink/commands/exit_codes.py
@@ -9,8 +9,8 @@
     """Exit codes of all commands.
 
     NOT_RUN, RAN and MAY_HAVE_RUN are exit codes of `submit` for a job that did not
-    succeed; CONFLICT, NOT_APPLIED and APPLY_UNKNOWN are exit codes of `apply`;
-    GUARANTEE_VIOLATED is an exit code of `bench`, `demo` and `soak`.
+    succeed; CONFLICT, NOT_APPLIED and APPLY_UNKNOWN are exit codes of `apply` and
+    `evacuate`; GUARANTEE_VIOLATED is an exit code of `bench`, `demo` and `soak`.
     """
 
     OK = 0
--- a/gooseberrylink/commands/inspect.py
+++ b/gooseberrylink/commands/inspect.py
@@ -52,6 +52,12 @@
             f"<info>entry {state['entry']}</info>: configuration"
             f" {state['config_version']}, {flags}, {state['jobs']} jobs"
         )
+        for source, evacuation in state["evacuations"].items():
+            names = ", ".join(evacuation["data_centres"]) or "none"
+            self.line(
+                f"  evacuated data centres, {source} version {evacuation['version']}:"
+                f" {names}"
+            )
         for pool in state["lanes"]:
             self.line(
                 f"  service {pool['service']}: {pool['queued_tasks']} queued"
@@ -78,6 +84,8 @@
 def _describe_agent_state(agent: dict) -> str:
     if not agent["is_connected"]:
         return "disconnected"
+    if agent["is_evacuated"]:
+        return "evacuated"
     if agent["is_quarantined"]:
         return "quarantined"
     return "up" if agent["slots"] else "no backend"
--- a/gooseberrylink/customer_demand_table.py
+++ b/gooseberrylink/customer_demand_table.py
@@ -1,5 +1,7 @@
 """Sums up, at an agent, the demand of customers over all entries."""
 
+from gooseberrylink.peers.entry_peer import EntryPeer
+
 # Age after which the report of an entry is dropped.
 _VALID_S = 3.0
 
@@ -20,6 +22,16 @@
         """Records the demand at one entry, in requested tasks per second."""
         self._rates.setdefault(customer, {})[entry] = (demand_per_s, now_s)
 
+    def aggregate(
+        self, peer: EntryPeer, demands_per_s: dict[str, float], now_s: float
+    ) -> None:
+        """Records the demands that an entry reports, and tells it the sums."""
+        for customer, demand_per_s in demands_per_s.items():
+            self.record(customer, peer.incarnation, demand_per_s, now_s)
+            total_per_s = self.total_demand_per_s(customer, now_s)
+            peer.total_customer_demands_per_s[customer] = total_per_s
+            peer.outbox.wake_sender()
+
     def total_demand_per_s(self, customer: str, now_s: float) -> float:
         """Returns the sum of the unexpired demand over all entries."""
         rates = self._rates.get(customer, {})
--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -29,12 +29,17 @@
 from gooseberrylink.retry_budget import RetryBudget
 from gooseberrylink.routing import make_policy, remote_factor
 from gooseberrylink.run_times import RunTimeModel, WorkerIdentity
+from gooseberrylink.scheduling.evacuation import refusal_for_lack_of_room
 from gooseberrylink.service_pool import ServicePool
 from gooseberrylink.settings import EntrySettings
 from gooseberrylink.success_rates import CustomerSuccessRates
 from gooseberrylink.suspension import SuspensionMonitor
 from gooseberrylink.types import Answer, Job, JobRequest, Task, TaskState
-from gooseberrylink.unconfirmed_starts import AnnouncedStarts, UnconfirmedStarts
+from gooseberrylink.unconfirmed_starts import (
+    AnnouncedStarts,
+    UnconfirmedStarts,
+    earlier_start_pending,
+)
 
 _MAX_RETRY_BUDGET = 50.0
 _RETRY_BACKOFF_S = 0.05
@@ -53,9 +58,6 @@
 # A queue that is not empty for longer is stalled: most tasks are shorter than this, so
 # their results would have freed slots by then.
 _QUEUE_STALLED_S = 1.0
-# An agent that was killed or frozen, or a silent worker, is usually back within
-# seconds, long before a late start can be ruled out without it.
-_MAX_RETRY_AFTER_PENDING_S = 2.0
 # Lag of the event loop that does not shorten the leases of an entry.
 _TOLERATED_LAG_S = 0.1
 # Tasks whose numbers one log line lists.
@@ -195,7 +197,7 @@
         names = [task.name for task in request.tasks]
         left_s = self._unconfirmed_starts.left_s(names, now_s)
         if left_s > 0:
-            raise _earlier_start_pending(left_s)
+            raise earlier_start_pending(left_s)
 
     async def run_job(self, job: Job) -> Answer:
         """Runs an admitted job; returns all its results, or one code."""
@@ -244,7 +246,7 @@
             return Answer(Code.OK, results=job.results)
         code_by_execution = CANCELLED_CODES if job.is_cancelled else EXPIRED_CODES
         return Answer(
-            code_by_execution[job.execution_status()], detail=_describe_progress(job)
+            code_by_execution[job.execution_status()], detail=job.describe_progress()
         )
 
     async def _wait_for_revokes(self, job: Job) -> None:
@@ -633,12 +635,23 @@
             for task in pool.queue.find(start.task_name):
                 is_own_start = start.assignment_id.startswith(f"{task.task_id}.")
                 if task.job.is_unassigned() and not is_own_start:
-                    self._withdraw_tasks(task.job)
-                    error = _earlier_start_pending(start.left_s)
-                    self._fail(
-                        task.job,
-                        Answer(error.code, error.detail, None, error.retry_after_s),
-                    )
+                    self._refuse(task.job, earlier_start_pending(start.left_s))
+
+    def refuse_jobs_without_room(self) -> None:
+        """Refuses the queued jobs for which an evacuation leaves too little room."""
+        if trio.current_time() < self._admission.startup_grace_ends_s:
+            return
+        for pool in self.pools():
+            evacuated = {peer.data_centre for peer in pool.evacuated_peers()}
+            for job, wait_s in pool.find_jobs_without_room(trio.current_time()):
+                self._metrics.add("jobs_given_up_for_evacuation")
+                error = refusal_for_lack_of_room(pool.service, evacuated, wait_s)
+                self._refuse(job, error)
+
+    def _refuse(self, job: Job, error: RefusedError) -> None:
+        """Refuses a job that was admitted, and of which no task was assigned."""
+        self._withdraw_tasks(job)
+        self._fail(job, Answer(error.code, error.detail, None, error.retry_after_s))
 
     def _rerun(self, task: Task, reason: str) -> bool:
         """Queues a task again whose last run has certainly ended.
@@ -793,6 +806,8 @@
                 pool.queue_nonempty_since_s = now_s
             elif is_due_soon or now_s - since_s > _QUEUE_STALLED_S:
                 self._advertise_demand(pool)
+            if not pool.can_serve():
+                self.refuse_jobs_without_room()
             # This also gives up jobs that have waited too long.
             self.assign_queued_tasks(pool.service)
 
@@ -960,15 +975,6 @@
             self._requeue(task)
 
 
-def _earlier_start_pending(left_s: float) -> RefusedError:
-    return RefusedError(
-        Code.EARLIER_START_PENDING,
-        "a task of an earlier submission may still start, at a worker that has not"
-        f" confirmed it, within the next {left_s:.1f} s",
-        min(left_s, _MAX_RETRY_AFTER_PENDING_S),
-    )
-
-
 def _pop_ended(ends_s: dict[AgentPeer, float]) -> list[tuple[AgentPeer, float]]:
     """Removes agents whose time has come or that are connected; returns the former."""
     now_s = trio.current_time()
@@ -994,11 +1000,3 @@
         stop_running=stop_running,
         connected=peer.is_connected,
     )
-
-
-def _describe_progress(job: Job) -> str:
-    done = sum(task.state is TaskState.DONE for task in job.tasks)
-    return (
-        f"{done} of {len(job.tasks)} tasks had results when the job ended; its deadline"
-        f" was {job.request.deadline_s:g} s"
-    )
--- a/gooseberrylink/entry.py
+++ b/gooseberrylink/entry.py
@@ -23,6 +23,7 @@
 from gooseberrylink.peers.messages import AgentHello, EntryHello, decode_at_entry
 from gooseberrylink.platform.table_service import TableServiceClient
 from gooseberrylink.rendezvous import choose_by_rendezvous_hash
+from gooseberrylink.scheduling.evacuation import OPERATOR, Evacuations
 from gooseberrylink.settings import EntrySettings
 from gooseberrylink.types import Answer, Job, JobRequest
 
@@ -39,6 +40,8 @@
         incarnation: Random id of this run of the process.
         peers: Agents by worker name, including disconnected ones.
         random: Random number generator; reproducible if a seed is given.
+        evacuations: The evacuated data centres, from the configuration, its source and
+            agents.
         address_for_agents: Address at which agents reach this entry.
         answer_time: Histogram of the times from submission to answer, in seconds.
         reports_not_ready: Whether the readiness probe fails because a shutdown
@@ -60,6 +63,7 @@
         self.random = random.Random(seed)
         self.address_for_agents = settings.listen_agents
         self.configuration = Configuration()
+        self.evacuations = Evacuations(self._handle_evacuation_change)
         self.dispatcher = Dispatcher(
             settings, self.configuration, self.metrics, self.incarnation, seed
         )
@@ -99,7 +103,7 @@
         It does if the platform confirmed it, or if at least ready_peers connected
         agents reported a version that is not newer; a single agent may be out of date.
         """
-        if self.configuration.declarations is None:
+        if self.configuration.declarations is None or not self._knows_evacuations():
             return False
         if self._is_configuration_confirmed:
             return True
@@ -109,6 +113,15 @@
         )
         return reporting_peers >= self.settings.ready_peers
 
+    def _knows_evacuations(self) -> bool:
+        """Returns whether it is known which data centres the operator evacuates.
+
+        An entry that has heard of none since its start may not have heard at all.
+        """
+        if not self.settings.awaits_evacuations:
+            return True
+        return self.evacuations.version(OPERATOR) > 0
+
     async def submit(self, request: JobRequest) -> Answer:
         """Runs a job; returns all its results, or a code for why there are none."""
         started_s = trio.current_time()
@@ -278,6 +291,19 @@
         if not self.configuration.adopt(version, text, source):
             return
         self.metrics.set_gauge("config_version", version)
+        self.evacuations.adopt_rules(self.configuration)
+        self._wake_all_senders()
+
+    def _handle_evacuation_change(self, former: frozenset[str]) -> None:
+        """Tells all agents; refuses jobs for which too little room is left."""
+        self.metrics.set_gauge(
+            "evacuated_data_centres", len(self.evacuations.data_centres)
+        )
+        self._wake_all_senders()
+        if self.evacuations.data_centres - former:
+            self.dispatcher.refuse_jobs_without_room()
+
+    def _wake_all_senders(self) -> None:
         for peer in self.peers.values():
             if peer.is_connected:
                 peer.outbox.wake_sender()
--- a/gooseberrylink/entry_discovery.py
+++ b/gooseberrylink/entry_discovery.py
@@ -4,7 +4,7 @@
 
 from gooseberrylink.agent import Agent
 from gooseberrylink.metrics import Metrics
-from gooseberrylink.store import RowStore, StoredRow, put_with_retry, watch_table
+from gooseberrylink.store import Rows, RowStore, put_with_retry, watch_table
 
 _TABLE = "gooseberrylink-entries"
 # A dead connection to the store may be noticed this late, because connected entries
@@ -22,8 +22,8 @@
 async def watch_entries(store: RowStore, agent: Agent) -> None:
     """Passes the entries in the table to an agent, until cancelled."""
 
-    def add_entries(rows: list[StoredRow]) -> None:
-        for row in rows:
+    def add_entries(rows: Rows) -> None:
+        for row in rows.rows:
             if row.value is not None:
                 agent.add_known_entries([row.value.decode(errors="replace")])
 
--- a/gooseberrylink/operators/configuration_source.py
+++ b/gooseberrylink/operators/configuration_source.py
@@ -10,10 +10,17 @@
 )
 from gooseberrylink.platform.table_service import TableServiceClient
 from gooseberrylink.platform.table_service_types import PlatformErrorKind
+from gooseberrylink.scheduling.evacuation import Evacuations
 
 
 class ConfigurationReceiver(Protocol):
-    """Receives configurations from a source; implemented by the entry."""
+    """Receives configurations from a source; implemented by the entry.
+
+    Attributes:
+        evacuations: Receives evacuations that the source knows beside configurations.
+    """
+
+    evacuations: Evacuations
 
     @property
     def config_version(self) -> int:
--- a/gooseberrylink/operators/declarations.py
+++ b/gooseberrylink/operators/declarations.py
@@ -133,11 +133,16 @@
 
 
 class Rules(StrictModel):
-    """Rules on customers, queues and limits."""
+    """Rules on customers, queues and limits.
+
+    Attributes:
+        evacuated_data_centres: Data centres where no task is started.
+    """
 
     customers: list[Customer] = Field(min_length=1)
     queues: list[Queue] = []
     limits: Limits = Limits()
+    evacuated_data_centres: list[Name] = []
 
 
 class Declarations(StrictModel):
@@ -184,6 +189,10 @@
             if worker.service not in services:
                 message = _unknown_name_message(worker.service, services)
                 errors.append(((*path, "service"), message))
+        for index, name in enumerate(self.rules.evacuated_data_centres):
+            if name not in data_centres:
+                message = _unknown_name_message(name, data_centres)
+                errors.append((("rules", "evacuated_data_centres", index), message))
         return errors
 
     def _find_invalid_deadlines(self) -> list[FieldError]:
--- a/gooseberrylink/operators/status.py
+++ b/gooseberrylink/operators/status.py
@@ -16,6 +16,13 @@
         "entry": entry.settings.entry,
         "incarnation": entry.incarnation,
         "config_version": entry.configuration.version,
+        "evacuations": {
+            state.source: {
+                "version": state.version,
+                "data_centres": sorted(state.data_centres),
+            }
+            for state in entry.evacuations.states()
+        },
         "is_ready": entry.is_ready,
         "is_draining": entry.dispatcher.is_draining,
         "jobs": len(entry.dispatcher.jobs),
@@ -48,6 +55,7 @@
         "config_version": peer.config_version,
         "is_connected": peer.is_connected,
         "is_quarantined": peer.is_quarantined,
+        "is_evacuated": peer.is_evacuated,
         "slots": peer.slots,
         "free_slots": max(0, peer.free_units),
         "in_flight_tasks": len(peer.tasks_in_flight),
--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -31,6 +31,7 @@
 from gooseberrylink.peers.outbox import Outbox
 from gooseberrylink.peers.session import Session
 from gooseberrylink.resources import NO_RESOURCES, Resources
+from gooseberrylink.scheduling.evacuation import EvacuationLink
 from gooseberrylink.types import Task
 from gooseberrylink.unconfirmed_starts import MAX_STARTS_A_FRAME
 
@@ -124,6 +125,7 @@
         self._unsent_starts: collections.deque[UnconfirmedStart] = collections.deque(
             maxlen=MAX_STARTS_A_FRAME
         )
+        self._evacuation_link = EvacuationLink(entry.evacuations)
         self.config_version = 0
 
     @property
@@ -143,8 +145,13 @@
 
     @property
     def can_serve(self) -> bool:
-        """Whether a link is open and the agent has a backend server."""
-        return self._session is not None and self.slots > 0
+        """Whether a link is open and the agent has a backend server for new tasks."""
+        return self._session is not None and self.slots > 0 and not self.is_evacuated
+
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether the agent is in an evacuated data centre, as far as is known."""
+        return self.data_centre in self._entry.evacuations.data_centres
 
     @property
     def free_units(self) -> int:
@@ -230,7 +237,8 @@
         """Returns whether a task should fit, according to the agent's last report."""
         resources = task.spec.resources
         free_units = self.free_long_units if task.is_long else self.free_units
-        if free_units < resources.units:
+        # A task may need no units.
+        if not self.can_serve or free_units < resources.units:
             return False
         return (
             self.free_memory_mb >= resources.memory_mb
@@ -340,6 +348,7 @@
         self.config_version = hello.config_version
         session.record_peer_config_version(hello.config_version)
         self.advertised_demand = 0
+        self._evacuation_link = EvacuationLink(self._entry.evacuations)
         self._repeat_lost_runs()
         self._unsent_starts.clear()
         self.share_unconfirmed_starts(self._entry.dispatcher.announced_starts())
@@ -423,6 +432,9 @@
 
     def _handle_frame(self, frame: AgentFrame) -> None:
         self._entry.dispatcher.handle_sign_of_agent()
+        self._evacuation_link.receive(frame.evacuations, "agent")
+        if self._evacuation_link.is_peer_behind():
+            self.outbox.wake_sender()
         self._record_agent_clock(frame.clock_s)
         self._free_units = frame.free_units
         self._free_long_units = frame.free_long_units
@@ -462,7 +474,7 @@
         self.capacity, self.largest_capacity = capacity, largest.maximum(capacity)
 
     def _update_backend(self, frame: AgentFrame) -> None:
-        if self.slots and not frame.slots:
+        if self.slots and not frame.slots and not self.is_evacuated:
             self._stopped_serving_s = self.last_frame_s
         self.slots = frame.slots
         self.is_quarantined = frame.is_quarantined
@@ -516,4 +528,5 @@
             items=items,
             lost_runs=lost_runs,
             unconfirmed_starts=unconfirmed_starts,
+            evacuations=self._evacuation_link.take_updates(),
         )
--- a/gooseberrylink/peers/entry_peer.py
+++ b/gooseberrylink/peers/entry_peer.py
@@ -24,6 +24,7 @@
 )
 from gooseberrylink.peers.outbox import Outbox
 from gooseberrylink.peers.session import Session
+from gooseberrylink.scheduling.evacuation import EvacuationLink
 from gooseberrylink.unconfirmed_starts import MAX_STARTS_A_FRAME
 
 if TYPE_CHECKING:
@@ -69,6 +70,7 @@
         self._unsent_starts: collections.deque[UnconfirmedStart] = collections.deque(
             maxlen=MAX_STARTS_A_FRAME
         )
+        self._evacuation_link = EvacuationLink(agent.evacuations)
         self._has_failed = False
 
     @property
@@ -152,6 +154,7 @@
         self.name = hello.entry
         self._units_received = 0
         self._host_sent = None
+        self._evacuation_link = EvacuationLink(self._agent.evacuations)
         # Reported to every entry, also to one that has just started.
         self._unsent_lost_runs.clear()
         self._unsent_lost_runs.extend(
@@ -177,6 +180,8 @@
         frame = decode_at_agent(data)
         if isinstance(frame, EntryHello):
             raise msgspec.ValidationError("received a second EntryHello on one link")
+        # Before the assignments in this frame, which must not start if it evacuates.
+        self._evacuation_link.receive(frame.evacuations, "entry")
         self._agent.handle_frame(self, frame)
         return frame.config_version
 
@@ -261,4 +266,5 @@
             lost_runs=lost_runs,
             started_ids=[i for i in started_ids if agent.is_running(i)],
             unconfirmed_starts=unconfirmed_starts,
+            evacuations=self._evacuation_link.take_updates(),
         )
--- a/gooseberrylink/peers/messages.py
+++ b/gooseberrylink/peers/messages.py
@@ -189,6 +189,19 @@
     left_s: float
 
 
+class EvacuationState(msgspec.Struct, array_like=True, frozen=True):
+    """Which data centres one source evacuates, as of one of its versions.
+
+    Attributes:
+        source: Where the evacuations are requested; see scheduling/evacuation.py.
+        version: Version of the source up to which this is complete, at least 1.
+    """
+
+    source: str
+    version: int
+    data_centres: frozenset[str]
+
+
 class ConfigUpdate(msgspec.Struct, tag="c", array_like=True):
     """Carries an accepted configuration to a peer that has an older one.
 
@@ -221,6 +234,8 @@
             agent reports those that it did not know to its other entries.
         unconfirmed_starts: Starts of this entry that may take effect late, or no
             longer can. The agent passes them on to its other entries.
+        evacuations: States that the agent may not know; it then handles them before
+            the items.
     """
 
     sent_s: float
@@ -234,6 +249,7 @@
     items: list[Assign | Revoke | Ack | ConfigUpdate] = []
     lost_runs: list[LostRun] = []
     unconfirmed_starts: list[UnconfirmedStart] = []
+    evacuations: list[EvacuationState] = []
 
 
 class AgentFrame(msgspec.Struct, tag="af", array_like=True):
@@ -263,6 +279,7 @@
         started_ids: Ids of this entry's assignments that are running and whose start
             the backend server has confirmed, each once on a link.
         unconfirmed_starts: Those that other entries sent; see EntryFrame.
+        evacuations: States that the entry may not know.
     """
 
     clock_s: float
@@ -284,6 +301,7 @@
     lost_runs: list[LostRun] = []
     started_ids: list[str] = []
     unconfirmed_starts: list[UnconfirmedStart] = []
+    evacuations: list[EvacuationState] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/gooseberrylink/platform/desired_state.py
+++ b/gooseberrylink/platform/desired_state.py
@@ -7,7 +7,8 @@
 from gooseberrylink.logs import log_event
 from gooseberrylink.metrics import Metrics
 from gooseberrylink.operators.configuration_source import ConfigurationReceiver
-from gooseberrylink.store import RowStore, StoredRow, watch_table
+from gooseberrylink.platform.evacuation_rows import EvacuationRows
+from gooseberrylink.store import Rows, RowStore, watch_table
 
 _TABLE = "op"
 _KEY = "config"
@@ -62,13 +63,16 @@
     ):
         self._store = store
         self._site_by_data_centre = site_by_data_centre
+        self._evacuation_rows = EvacuationRows(site_by_data_centre, metrics)
         self._metrics = metrics
 
     async def run(self, receiver: ConfigurationReceiver) -> None:
         """See ConfigurationSource."""
 
-        def adopt_rows(rows: list[StoredRow]) -> None:
-            for row in rows:
+        def adopt_rows(rows: Rows) -> None:
+            # First, as an entry with a configuration assigns tasks.
+            self._evacuation_rows.apply(rows, receiver.evacuations)
+            for row in rows.rows:
                 if row.key == _KEY and row.value is not None:
                     self._adopt(receiver, row.value)
             if receiver.config_version:
--- a/gooseberrylink/platform/entry_program.py
+++ b/gooseberrylink/platform/entry_program.py
@@ -108,5 +108,6 @@
         remote_factor=settings.bounds.remote_factor,
         rerun_after_silence_s=RERUN_AFTER_SILENCE_S,
         max_late_start_s=MAX_LATE_START_S,
+        awaits_evacuations=True,
         **link_settings(),
     )
--- a/gooseberrylink/platform/store.py
+++ b/gooseberrylink/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import dataclasses
 import urllib.parse
 
 import msgspec
@@ -60,6 +61,8 @@
     async def read_table(self, table: str) -> Rows | StoreErrorKind:
         """See RowStore."""
         rows: list[StoredRow] = []
+        unreadable_keys: tuple[str, ...] = ()
+        version: int | None = None
         from_key = ""
         while True:
             query = {"table": table, "part": "", "limit": _PAGE_ROWS}
@@ -68,9 +71,13 @@
             response = await self._get_rows("/rows-get", query)
             if isinstance(response, StoreErrorKind):
                 return response
-            rows += _to_stored_rows(response)
+            page = _to_rows(response)
+            rows += page.rows
+            unreadable_keys += page.unreadable_keys
+            # Rows of the first page may have changed before the next one was read.
+            version = response.ver if version is None else version
             if not response.has_more or not response.rows:
-                return Rows(rows, response.ver)
+                return Rows(rows, version, True, unreadable_keys)
             from_key = response.rows[-1].key + "\0"
 
     async def read_row(self, table: str, key: str) -> StoredRow | None | StoreErrorKind:
@@ -79,7 +86,7 @@
         response = await self._get_rows("/rows-get", query)
         if isinstance(response, StoreErrorKind):
             return response
-        rows = _to_stored_rows(response)
+        rows = _to_rows(response).rows
         return rows[0] if rows else None
 
     async def wait_for_changes(
@@ -90,7 +97,8 @@
         response = await self._get_rows("/rows-feed", query, wait_s)
         if isinstance(response, StoreErrorKind):
             return response
-        return Rows(_to_stored_rows(response), max(version, response.ver))
+        changes = _to_rows(response)
+        return dataclasses.replace(changes, version=max(version, response.ver))
 
     async def put(self, table: str, key: str, value: bytes) -> StoreErrorKind | None:
         """See RowStore."""
@@ -115,8 +123,8 @@
             return StoreErrorKind.NO_EFFECT
 
 
-def _to_stored_rows(response: _RowsResponse) -> list[StoredRow]:
-    rows = []
+def _to_rows(response: _RowsResponse) -> Rows:
+    rows, unreadable_keys = [], []
     for row in response.rows:
         if row.tombstone:
             rows.append(StoredRow(row.key, None))
@@ -125,7 +133,8 @@
             rows.append(StoredRow(row.key, base64.b64decode(row.value)))
         except (binascii.Error, ValueError):
             log_event("store_row_malformed", "WARNING", key=row.key)
-    return rows
+            unreadable_keys.append(row.key)
+    return Rows(rows, response.ver, unreadable_keys=tuple(unreadable_keys))
 
 
 def _to_store_error_kind(response: Response | None) -> StoreErrorKind:
--- a/gooseberrylink/service_pool.py
+++ b/gooseberrylink/service_pool.py
@@ -5,6 +5,7 @@
 from gooseberrylink.operators.declarations import Customer
 from gooseberrylink.peers.agent_peer import AgentPeer
 from gooseberrylink.resources import Resources
+from gooseberrylink.scheduling.evacuation import find_jobs_without_room
 from gooseberrylink.task_queue import TaskQueue
 from gooseberrylink.types import Job
 from gooseberrylink.wait_limits import wait_limit_s
@@ -51,6 +52,22 @@
         """Returns whether any agent with a backend server is connected."""
         return any(peer.can_serve for peer in self.peers)
 
+    def evacuated_peers(self) -> list[AgentPeer]:
+        """Returns the connected agents that are in evacuated data centres."""
+        return [peer for peer in self.peers if peer.is_connected and peer.is_evacuated]
+
+    def find_jobs_without_room(self, now_s: float) -> list[tuple[Job, float]]:
+        """Returns jobs that an evacuation leaves too little room for; see evacuation.
+
+        None are returned while no agent is evacuated or known at all.
+        """
+        if not self.evacuated_peers():
+            return []
+        parallelism = self.parallelism() if self.can_serve() else 0.0
+        return find_jobs_without_room(
+            self.queue.in_order(), parallelism, self.min_slowdown, now_s
+        )
+
     def can_fit(self, resources: Resources) -> bool:
         """Returns whether a task fits into some backend server when it is idle."""
         return any(
@@ -58,7 +75,12 @@
         )
 
     def may_fit_later(self, resources: Resources) -> bool:
-        """Returns whether a task would fit if each capacity grew to its former size."""
+        """Returns whether a task would fit if each capacity grew to its former size.
+
+        The capacity in evacuated data centres is not known, and may be enough.
+        """
+        if self.evacuated_peers():
+            return True
         return any(
             peer.can_serve and peer.largest_capacity.covers(resources)
             for peer in self.peers
@@ -81,15 +103,20 @@
         if len(self.queue):
             return max(
                 1.0,
-                float(self.in_flight_count),
+                float(self._serving_task_count()),
                 self._usable_units() / max(1.0, self.mean_task_units),
             )
         return max(1.0, max_tasks)
 
+    def _serving_task_count(self) -> int:
+        """Returns the tasks in flight whose place is free again after their end."""
+        evacuated = sum(len(peer.tasks_in_flight) for peer in self.evacuated_peers())
+        return self.in_flight_count - evacuated
+
     def _usable_units(self) -> float:
         """Returns the units that this entry uses or could use at its agents."""
         free_units = sum(max(0, peer.free_units) for peer in self.peers)
-        return free_units + self.in_flight_count * self.mean_task_units
+        return free_units + self._serving_task_count() * self.mean_task_units
 
     def expected_wait_s(self, sort_key: tuple[int, float]) -> float:
         """Estimates how long a task with this sort key would wait, in seconds.
--- a/gooseberrylink/settings.py
+++ b/gooseberrylink/settings.py
@@ -167,6 +167,8 @@
             if no agent is connected yet.
         remote_factor: Factor by which a task takes longer on another rack than on
             the rack of its data.
+        awaits_evacuations: Whether an operator's table says which data centres are
+            evacuated, so that no job is accepted before it, or an agent, was heard.
     """
 
     entry: Name
@@ -186,3 +188,4 @@
     rerun_after_silence_s: Seconds = 30.0
     agents_back_s: float = Field(default=0.0, ge=0)
     remote_factor: float = Field(default=1.0, ge=1)
+    awaits_evacuations: bool = False
--- a/gooseberrylink/standins/store.py
+++ b/gooseberrylink/standins/store.py
@@ -48,6 +48,14 @@
         self._changed.set()
         self._changed = trio.Event()
 
+    def remove(self, table: str, key: str) -> None:
+        """Removes a row, as another client of the store would."""
+        self._version += 1
+        row = {"table": table, "key": key, "ver": self._version, "tombstone": True}
+        self._rows[table, key] = row
+        self._changed.set()
+        self._changed = trio.Event()
+
     def drop_history(self) -> None:
         """Drops past changes; a feed request that needs them gets status 410."""
         self._history_dropped_up_to = self._version
@@ -55,7 +63,7 @@
     def get_value(self, table: str, key: str) -> bytes | None:
         """Returns a row's value, or None if there is no such row."""
         row = self._rows.get((table, key))
-        return base64.b64decode(row["value"]) if row else None
+        return base64.b64decode(row["value"]) if row and "value" in row else None
 
     async def _get(self, request: Request) -> Response:
         self.request_paths.append(request.url.path)
@@ -63,7 +71,7 @@
             return JSONResponse({}, 503)
         query = request.query_params
         start, end = query.get("from", ""), query.get("target", "\U0010ffff")
-        rows = self._rows_after(query["table"], 0)
+        rows = [r for r in self._rows_after(query["table"], 0) if "value" in r]
         return self._respond([row for row in rows if start <= row["key"] < end])
 
     async def _feed(self, request: Request) -> Response:
--- a/gooseberrylink/store.py
+++ b/gooseberrylink/store.py
@@ -43,10 +43,18 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Rows:
-    """Rows of a table, and the version of the store that they reflect."""
+    """Rows of a table, and the version of the store that they reflect.
+
+    Attributes:
+        is_full: Whether these are all rows of the table, rather than its changes.
+        unreadable_keys: Keys of rows that are there but are not in `rows`, because
+            their values can't be decoded.
+    """
 
     rows: list[StoredRow]
     version: int
+    is_full: bool = False
+    unreadable_keys: tuple[str, ...] = ()
 
 
 class RowStore(Protocol):
@@ -76,7 +84,7 @@
     table: str,
     wait_s: float,
     metrics: Metrics,
-    on_rows: Callable[[list[StoredRow]], None],
+    on_rows: Callable[[Rows], None],
 ) -> None:
     """Passes a table's rows, and then every change, to a function; never returns.
 
@@ -100,7 +108,7 @@
             if is_unavailable:
                 log_event("store_available", table=table, version=result.version)
             is_unavailable, backoff_s, version = False, _BACKOFF_MIN_S, result.version
-            on_rows(result.rows)
+            on_rows(result)
             continue
         metrics.add("store_reads_failed", result.value)
         if result is StoreErrorKind.HISTORY_LOST:
--- a/gooseberrylink/task_queue.py
+++ b/gooseberrylink/task_queue.py
@@ -96,6 +96,11 @@
         task.state = TaskState.NOT_STARTED
         self._subtract_from_totals(task)
 
+    def in_order(self) -> list[Task]:
+        """Returns all waiting tasks in order."""
+        nodes = [n for heap in self._heaps() for n in heap if self._is_valid(n)]
+        return [node[2] for node in sorted(nodes, key=lambda node: node[:2])]
+
     def head_priority(self) -> tuple[int, float]:
         """Returns precedence and due time of the first task; 0 and infinity if none."""
         heads = [self._first(heap) for heap in self._heaps()]
--- a/gooseberrylink/types.py
+++ b/gooseberrylink/types.py
@@ -205,6 +205,14 @@
             return False
         return all(task.state is TaskState.QUEUED for task in self.tasks)
 
+    def describe_progress(self) -> str:
+        """Returns how many tasks were done, for the answer to an ended job."""
+        done = sum(task.state is TaskState.DONE for task in self.tasks)
+        return (
+            f"{done} of {len(self.tasks)} tasks had results when the job ended; its"
+            f" deadline was {self.request.deadline_s:g} s"
+        )
+
     def execution_status(self) -> ExecutionStatus:
         """Returns whether a task ran or may have run, by the states of all tasks."""
         states = {task.state for task in self.tasks}
--- a/gooseberrylink/unconfirmed_starts.py
+++ b/gooseberrylink/unconfirmed_starts.py
@@ -12,12 +12,17 @@
 
 import msgspec
 
+from gooseberrylink.codes import Code
+from gooseberrylink.exceptions import RefusedError
 from gooseberrylink.peers.messages import UnconfirmedStart
 
 # Starts that wait for one link at most. If there are more, the oldest are left out.
 MAX_STARTS_A_FRAME = 1000
 # A rack of a large site can lose a thousand at once.
 _MAX_STARTS = 10_000
+# An agent that was killed or frozen, or a silent worker, is usually back within
+# seconds, long before a late start can be ruled out without it.
+_MAX_RETRY_AFTER_PENDING_S = 2.0
 
 
 class UnconfirmedStarts:
@@ -120,3 +125,13 @@
             msgspec.structs.replace(start, left_s=end_s - now_s)
             for start, end_s in self._announced.values()
         ]
+
+
+def earlier_start_pending(left_s: float) -> RefusedError:
+    """Returns the refusal of a job while an earlier start may still take effect."""
+    return RefusedError(
+        Code.EARLIER_START_PENDING,
+        "a task of an earlier submission may still start, at a worker that has not"
+        f" confirmed it, within the next {left_s:.1f} s",
+        min(left_s, _MAX_RETRY_AFTER_PENDING_S),
+    )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -21,6 +21,7 @@
 from gooseberrylink.platform.heartbeats import HeartbeatHandler
 from gooseberrylink.platform.settings import read_settings
 from gooseberrylink.resources import Resources
+from gooseberrylink.scheduling.evacuation import Evacuations
 from gooseberrylink.store import Rows, StoreErrorKind, put_with_retry
 
 SETTINGS = {
@@ -62,6 +63,7 @@
 
     def __init__(self):
         self.configuration = Configuration()
+        self.evacuations = Evacuations()
         self.confirmed = 0
 
     @property
