Soak and process tests empty data centres

The soak evacuates one data centre after the other and checks the workers' logs of runs; real processes are evacuated by command and taken back.

--- a/gooseberrylink/soak/deployment.py
+++ b/gooseberrylink/soak/deployment.py
@@ -17,6 +17,7 @@
 
 _LINK_PORT, _FRONT_PORT, _READY_PORT, _CONTROL_PORT = 7720, 8161, 8167, 8166
 _SERVICE = "soak"
+_DATA_CENTRES = ("north", "south", "east")
 # Thousandths of a core.
 _WORKER_UNITS = 8000
 ROUTE_HOST, ROUTE_PREFIX = "soak.example", "/jobs/"
@@ -27,11 +28,15 @@
 
     Attributes:
         role: "entry" or "agent".
+        data_centre: Where the host is.
         process: The program's process; None while the host is down.
     """
 
-    def __init__(self, role: str, name: str, ip: str, folder: pathlib.Path):
+    def __init__(
+        self, role: str, name: str, ip: str, folder: pathlib.Path, data_centre: str
+    ):
         self.role, self.name, self.ip = role, name, ip
+        self.data_centre = data_centre
         self._folder = folder
         self.process: subprocess.Popen | None = None
 
@@ -68,12 +73,12 @@
         network_prefix = f"127.{16 + seed % 200}.{os.getpid() % 250}"
         self.store = FakeStore()
         self.entries = [
-            ProgramHost("entry", f"e{n}", f"{network_prefix}.{n}", folder)
+            ProgramHost("entry", f"e{n}", f"{network_prefix}.{n}", folder, "north")
             for n in (1, 2)
         ]
         self.agents = [
-            ProgramHost("agent", f"a{n}", f"{network_prefix}.{n + 10}", folder)
-            for n in (1, 2, 3)
+            ProgramHost("agent", f"a{n}", f"{network_prefix}.{n + 10}", folder, name)
+            for n, name in enumerate(_DATA_CENTRES, 1)
         ]
         self.backends = [
             FakeLeasedBackend(agent.name, nursery, _WORKER_UNITS)
@@ -100,6 +105,14 @@
         """Starts a host's program."""
         host.start(self._settings(host))
 
+    def request_evacuation(self, data_centre: str) -> None:
+        """Empties a data centre, as an operator does."""
+        self.store.put("op", f"evacuate/{data_centre}", b"{}")
+
+    def end_evacuation(self, data_centre: str) -> None:
+        """Takes the evacuation of a data centre back."""
+        self.store.remove("op", f"evacuate/{data_centre}")
+
     def stop(self) -> None:
         """Kills the programs of all hosts."""
         for host in self.hosts:
@@ -120,8 +133,8 @@
         return {
             "node": host.name,
             "ip": host.ip,
-            "zone": "north",
-            "zones": {"north": "coast"},
+            "zone": host.data_centre,
+            "zones": dict.fromkeys(_DATA_CENTRES, "coast"),
             "bindAddresses": {name: f"{host.ip}:{p}" for name, p in ports.items()},
             "internalPorts": [_LINK_PORT, _LINK_PORT + 15],
             "seeds": [f"{entry.ip}:{_CONTROL_PORT}" for entry in self.entries],
--- a/gooseberrylink/soak/run.py
+++ b/gooseberrylink/soak/run.py
@@ -16,7 +16,10 @@
     SoakDeployment,
     job_url,
 )
-from gooseberrylink.standins.leased_backend import find_tasks_with_overlapping_runs
+from gooseberrylink.standins.leased_backend import (
+    FakeLeasedBackend,
+    find_tasks_with_overlapping_runs,
+)
 
 _STARTUP_WAIT_S = 4.0
 _RETRY_DELAY_S = 1.3
@@ -26,6 +29,8 @@
 # so that the consequences of the last faults show as well.
 _FAULT_FREE_TAIL_S = 5.0
 _REFUSAL_STATUSES = (429, 503)
+# Time after the request by which no task starts in an evacuated data centre.
+_EVACUATED_WITHIN_S = 5.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -36,7 +41,8 @@
         status_counts: Number of responses by HTTP status; 0 means no response.
         faults: The injected faults in order: seconds since the start, kind, name of
             the host or of the backend server, and duration in seconds. The name has no
-            meaning for the kind "store", and the duration none for "crash".
+            meaning for the kind "store", and the duration none for "crash". "evacuate"
+            empties the data centre of the backend server.
         violations: Violated guarantees, one line each.
     """
 
@@ -57,6 +63,8 @@
         self._folder = folder
         self._started_s = 0.0
         self._statuses: dict[str, list[int]] = {}
+        # Backend servers, and the times between which they must start nothing.
+        self._evacuations: list[tuple[FakeLeasedBackend, float, float]] = []
         self.result = SoakResult()
 
     async def run(self) -> SoakResult:
@@ -78,6 +86,7 @@
         end_s = self._started_s + self._duration_s
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._inject_faults, deployment, end_s)
+            nursery.start_soon(self._evacuate, deployment, end_s)
             number = 0
             while trio.current_time() < end_s + _FAULT_FREE_TAIL_S:
                 job_id = f"{self._rng.getrandbits(64):016x}"
@@ -161,6 +170,26 @@
         else:
             backend.crash()
 
+    async def _evacuate(self, deployment: SoakDeployment, end_s: float) -> None:
+        """Empties one data centre after the other and takes it back."""
+        # The other faults of a seed do not depend on these numbers.
+        rng = random.Random(self._seed)
+        hosts = list(zip(deployment.agents, deployment.backends, strict=True))
+        while trio.current_time() < end_s:
+            await trio.sleep(rng.uniform(0.3, 2.0))
+            agent, backend = rng.choice(hosts)
+            requested_s, duration_s = trio.current_time(), rng.uniform(0.3, 9.0)
+            self.result.faults.append(
+                f"{requested_s - self._started_s:.2f} evacuate {backend.name}"
+                f" {duration_s:.2f}"
+            )
+            deployment.request_evacuation(agent.data_centre)
+            await trio.sleep(duration_s)
+            deployment.end_evacuation(agent.data_centre)
+            self._evacuations.append(
+                (backend, requested_s + _EVACUATED_WITHIN_S, trio.current_time())
+            )
+
     async def _restart_program(
         self, deployment: SoakDeployment, host: ProgramHost, kind: str, down_s: float
     ) -> None:
@@ -187,6 +216,13 @@
                     f"backend server of {backend.name} used {backend.peak_units} of "
                     f"{backend.capacity_units} units"
                 )
+        for backend, from_s, to_s in self._evacuations:
+            count = sum(from_s < run.started_s < to_s for run in backend.runs)
+            if count:
+                violations.append(
+                    f"{count} runs of {backend.name} started in an evacuated data"
+                    " centre"
+                )
         ran = {
             run.key.name.partition(".")[0]
             for backend in deployment.backends
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -15,6 +15,9 @@
 import pytest
 from conftest import EXAMPLES
 
+from gooseberrylink.codes import Code
+from gooseberrylink.commands.exit_codes import ExitCode
+
 TIMEOUT_S = 30.0
 
 
@@ -179,6 +182,7 @@
     answer = processes.submit("entry-1", [0.1] * 20, "whole")
     assert answer["results"] == list(range(20))
     check_commands(processes)
+    check_evacuation(processes)
     check_resubmission(processes)
     check_killed_agent(processes)
     check_frozen_agent(processes)
@@ -190,17 +194,42 @@
 
 
 def check_commands(processes):
-    def run(*arguments) -> list:
-        entry = ["--entry", processes.entry_addresses["entry-1"], "--json"]
-        command = [sys.executable, "-m", "gooseberrylink", *arguments, *entry]
-        return json.loads(subprocess.run(command, capture_output=True).stdout)
-
-    (status,) = run("status")
+    (status,) = run_command(processes, "status")
     assert [agent["worker"] for agent in status["agents"]] == ["tank-1", "tank-2"]
-    answers = [s for s in run("counters") if s["name"].endswith("_answers_total")]
+    answers = [
+        s
+        for s in run_command(processes, "counters")
+        if s["name"].endswith("_answers_total")
+    ]
     assert [(s["labels"]["reason"], s["value"]) for s in answers] == [("ok", 1.0)]
 
 
+def check_evacuation(processes):
+    def run(*arguments) -> int:
+        options = ["--platform", processes.platform_address, "--timeout", "3"]
+        options += ["--entry", processes.entry_addresses["entry-1"]]
+        command = [sys.executable, "-m", "gooseberrylink", "evacuate", *arguments]
+        return subprocess.run(command + options, capture_output=True).returncode
+
+    assert run("ain-sebaa") == ExitCode.OK
+    processes.wait_ready(slots=0)
+    (status,) = run_command(processes, "status")
+    assert status["evacuations"]["rules"]["data_centres"] == ["ain-sebaa"]
+    assert {agent["is_evacuated"] for agent in status["agents"]} == {True}
+    for entry in processes.entry_addresses:
+        assert processes.submit(entry, [0.1], "evacuated")["code"] == Code.EVACUATED
+    assert run("nowhere") == ExitCode.INVALID_FILE
+    assert run("ain-sebaa", "--end") == ExitCode.OK
+    processes.wait_ready(slots=16)
+    assert "evacuated/0" not in processes.list_start_labels()
+
+
+def run_command(processes, name: str) -> list:
+    entry = ["--entry", processes.entry_addresses["entry-1"], "--json"]
+    command = [sys.executable, "-m", "gooseberrylink", name, *entry]
+    return json.loads(subprocess.run(command, capture_output=True).stdout)
+
+
 def check_resubmission(processes):
     not_repeatable = {"repeatable": False}
     thread, answers = processes.submit_in_background(
