Learn slowdowns by worker, with the hardware type as prior

Cause: after a power loss workers announced other hardware types but ran as before; entries knew speeds by type only, so tasks went to slow workers. Change: WorkerSlowdowns weighs a worker's own runs against its type; the more workers differ, the more own runs count. Hosts report the backend server's start time. Exclusion of slow workers still compares with the type.

--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -158,9 +158,7 @@
     @property
     def host(self) -> Host:
         """Host on which the backend server runs."""
-        if self._announcement is None:
-            return Host()
-        return Host(self._announcement.hardware, self._announcement.rack)
+        return self._announcement.host if self._announcement else Host()
 
     def attach_backend(
         self, backend: BackendClient, announcement: Announcement
--- a/gooseberrylink/backends/client.py
+++ b/gooseberrylink/backends/client.py
@@ -6,7 +6,7 @@
 
 from gooseberrylink.addresses import split_address
 from gooseberrylink.exceptions import MalformedAddressError, MalformedAnnouncementError
-from gooseberrylink.peers.messages import Status
+from gooseberrylink.peers.messages import Host, Status
 
 # Requests carry the incarnation in a header.
 _INCARNATION = re.compile(r"[!-~]{0,200}")
@@ -78,6 +78,11 @@
     hardware: str = ""
     rack: str = ""
 
+    @property
+    def host(self) -> Host:
+        """Host on which the backend server runs."""
+        return Host(self.hardware, self.rack, self.born_ms)
+
     def check(self) -> None:
         """Checks that requests can be sent to the backend server.
 
--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -28,7 +28,7 @@
 from gooseberrylink.resources import Resources
 from gooseberrylink.retry_budget import RetryBudget
 from gooseberrylink.routing import make_policy, remote_factor
-from gooseberrylink.run_times import RunTimeModel, WorkerIdentity
+from gooseberrylink.run_times import RunTimeModel
 from gooseberrylink.service_pool import ServicePool
 from gooseberrylink.settings import EntrySettings
 from gooseberrylink.success_rates import CustomerSuccessRates
@@ -727,9 +727,10 @@
             request.customer,
             request.service,
             task.spec.declared_s,
-            WorkerIdentity(peer.worker, peer.host.hardware),
+            peer.worker_identity,
             run_s / remote_factor(task.spec, peer.host, self.settings),
             self._configuration.long_threshold_s(request.service),
+            trio.current_time(),
         )
 
     def _fail(self, job: Job, answer: Answer) -> None:
@@ -881,9 +882,7 @@
                 last_frame_age_s=task.assigned_s - peer.last_frame_s,
                 waited_s=task.assigned_s - task.job.submitted_s,
                 hardware=peer.host.hardware,
-                slowdown=self.run_times.slowdown(
-                    WorkerIdentity(peer.worker, peer.host.hardware)
-                ),
+                slowdown=self.run_times.slowdown(peer.worker_identity),
             )
         hints = AssignHints(
             self._policy.holds_tasks_at_agents,
--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -31,6 +31,7 @@
 from gooseberrylink.peers.outbox import Outbox
 from gooseberrylink.peers.session import Session
 from gooseberrylink.resources import NO_RESOURCES, Resources
+from gooseberrylink.scheduling.worker_slowdowns import WorkerIdentity
 from gooseberrylink.types import Task
 from gooseberrylink.unconfirmed_starts import MAX_STARTS_A_FRAME
 
@@ -79,6 +80,7 @@
         largest_capacity: The most that it had of each resource since the agent last
             reported that there was none.
         host: Host of the backend server, as last reported.
+        worker_identity: The worker on that host, for estimates of its speed.
         units_in_flight: Units of resources that the tasks in flight use.
     """
 
@@ -114,6 +116,7 @@
         self.free_memory_mb = 0
         self.free_gpus = 0
         self.host = Host()
+        self.worker_identity = WorkerIdentity(worker)
         self.units_in_flight = 0
         self._trial_ends_s = float("-inf")
         self._stopped_serving_s = float("-inf")
@@ -432,6 +435,9 @@
         self._record_capacity(Resources(frame.slots, frame.memory_mb, frame.gpus))
         if frame.host is not None:
             self.host = frame.host
+            self.worker_identity = WorkerIdentity(
+                self.worker, frame.host.hardware, frame.host.born_ms
+            )
         if frame.speed > 0:
             self._speed, self._speed_reported_s = frame.speed, self.last_frame_s
         self._update_backend(frame)
--- a/gooseberrylink/peers/messages.py
+++ b/gooseberrylink/peers/messages.py
@@ -34,10 +34,13 @@
     Attributes:
         hardware: Hardware type; hosts of one type are equally fast. "" if unknown.
         rack: Name of the host's rack; "" if unknown.
+        born_ms: When the backend server started, Unix time in milliseconds; 0 if
+            unknown. Hosts are replaced under their old names.
     """
 
     hardware: str = ""
     rack: str = ""
+    born_ms: int = 0
 
 
 class AgentHello(msgspec.Struct, tag="ah", array_like=True):
--- a/gooseberrylink/routing.py
+++ b/gooseberrylink/routing.py
@@ -6,7 +6,7 @@
 
 from gooseberrylink.peers.agent_peer import AgentPeer
 from gooseberrylink.peers.messages import Host
-from gooseberrylink.run_times import RunTimeModel, WorkerIdentity
+from gooseberrylink.run_times import RunTimeModel
 from gooseberrylink.settings import EntrySettings
 from gooseberrylink.types import Task, TaskSpec
 from gooseberrylink.wait_limits import on_time_wait_limit_s
@@ -166,7 +166,7 @@
         return min(slowdowns, default=1.0)
 
     def _worker_slowdown(self, peer: AgentPeer) -> float:
-        return self._run_times.slowdown(WorkerIdentity(peer.worker, peer.host.hardware))
+        return self._run_times.slowdown(peer.worker_identity)
 
     def _task_slowdown(self, peer: AgentPeer, task: Task) -> float:
         return self._worker_slowdown(peer) * remote_factor(
@@ -213,7 +213,7 @@
         """
         # Speeds relative to what is expected of the worker's kind of host.
         speeds = {
-            peer.worker: speed * self._worker_slowdown(peer)
+            peer.worker: speed * self._run_times.type_slowdown(peer.worker_identity)
             for peer in peers
             if peer.can_serve and (speed := peer.recent_speed(now_s)) is not None
         }
--- a/gooseberrylink/run_times.py
+++ b/gooseberrylink/run_times.py
@@ -3,17 +3,18 @@
 import dataclasses
 import math
 
+from gooseberrylink.scheduling.worker_slowdowns import (
+    LogMean,
+    WorkerIdentity,
+    WorkerSlowdowns,
+)
+
 _LEARNING_RATE = 0.1
 _SPEED_LEARNING_RATE = 0.03
 # Weight of the initial estimate of a class, as a number of tasks.
 _PRIOR_WEIGHT = 3.0
 _DEFAULT_RUN_S = 0.3
 _MIN_RUN_S = 0.001
-# Declared run times are off by 0.4 (relative standard deviation), so the mean over a
-# hundred tasks is accurate within 4%.
-_SLOWDOWN_LEARNING_RATE = 0.01
-# Weight of the initial mean of 0 (slowdown 1), as a number of tasks.
-_SLOWDOWN_PRIOR_WEIGHT = 2.0
 _SPEED_RANGE = (0.2, 5.0)
 _FIT_DECAY = 0.995
 # A fit to fewer tasks is not used.
@@ -21,38 +22,6 @@
 _FIT_MIN_VARIANCE = 0.01
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class WorkerIdentity:
-    """The worker that ran a task, and its kind of hardware.
-
-    Attributes:
-        worker: Name of the worker.
-        hardware: Kind of its host; "" if unknown.
-    """
-
-    worker: str
-    hardware: str = ""
-
-
-@dataclasses.dataclass(slots=True)
-class _LogMean:
-    """A moving average of logarithms.
-
-    Attributes:
-        mean: The average so far; 0 before the first value.
-        count: Number of values.
-    """
-
-    mean: float = 0.0
-    count: int = 0
-
-    def add(self, value: float) -> None:
-        """Adds a value."""
-        self.count += 1
-        rate = max(_SLOWDOWN_LEARNING_RATE, 1.0 / (self.count + _SLOWDOWN_PRIOR_WEIGHT))
-        self.mean += rate * (value - self.mean)
-
-
 @dataclasses.dataclass(slots=True)
 class _ClassEstimate:
     """Estimates for the tasks of one class, on a typical worker (slowdown 1).
@@ -116,22 +85,21 @@
     Only completed tasks are counted, because a task that fails fast says nothing
     about speed.
 
-    Where the kind of a host's hardware is known, the slowdown of that kind is
-    learned instead of the speed of each worker. Its run times are compared with
-    those of tasks with similar declared times on all kinds of hosts, because some
-    kinds get tasks with low declared times more often. Expected times are then
-    scaled so that they agree with the declared ones on average over all tasks.
+    Where the hardware types of hosts are known, the slowdowns of workers are learned
+    instead of their speeds; see WorkerSlowdowns. Run times are compared with those of
+    tasks with similar declared times on all workers, because some workers get tasks
+    with low declared times more often. Expected times are then scaled so that they
+    agree with the declared ones on average over all tasks.
     """
 
     def __init__(self):
         self._classes: dict[tuple[str, str, int], _ClassEstimate] = {}
         self._fits: dict[tuple[str, str], _DeclarationFit] = {}
         self._speeds: dict[str, float] = {}
-        # Mean of log(run time / run time predicted from the declared one), by kind of
-        # hardware.
-        self._log_slowdowns: dict[str, _LogMean] = {}
+        # Of run times in relation to those predicted from the declared ones.
+        self._slowdowns = WorkerSlowdowns()
         # Mean of log(declared run time / run time at slowdown 1).
-        self._log_declared_ratio = _LogMean()
+        self._log_declared_ratio = LogMean()
 
     def predict_run_s(self, customer: str, service: str, declared_s: float) -> float:
         """Returns the expected run time in seconds on a worker of slowdown 1.
@@ -161,14 +129,20 @@
 
     def slowdown(self, worker_identity: WorkerIdentity) -> float:
         """Returns the factor by which tasks run longer on a worker than expected."""
-        log_slowdown = self._log_slowdowns.get(worker_identity.hardware)
-        if log_slowdown is not None:
-            return math.exp(log_slowdown.mean - self._log_declared_ratio.mean)
-        return (
-            1.0
-            if worker_identity.hardware
-            else 1.0 / self.speed(worker_identity.worker)
-        )
+        if not worker_identity.hardware:
+            return 1.0 / self.speed(worker_identity.worker)
+        return self._scale(self._slowdowns.of_worker(worker_identity))
+
+    def type_slowdown(self, worker_identity: WorkerIdentity) -> float:
+        """Returns the slowdown that a worker's hardware type leads to expect."""
+        if not worker_identity.hardware:
+            return 1.0 / self.speed(worker_identity.worker)
+        return self._scale(self._slowdowns.of_type(worker_identity.hardware))
+
+    def _scale(self, log_slowdown: float | None) -> float:
+        if log_slowdown is None:
+            return 1.0
+        return math.exp(log_slowdown - self._log_declared_ratio.mean)
 
     def set_initial_speed(self, worker: str, speed: float) -> None:
         """Sets the speed of a worker whose speed is not known yet."""
@@ -182,6 +156,7 @@
         worker_identity: WorkerIdentity,
         run_s: float,
         long_after_s: float,
+        now_s: float,
     ) -> None:
         """Updates the estimates with a completed task.
 
@@ -192,11 +167,16 @@
             worker_identity: Worker on which the task ran.
             run_s: Run time, without the factor for a host away from the data.
             long_after_s: Run time from which a task counts as long.
+            now_s: Time at which it completed, in seconds.
         """
         run_s = max(run_s, _MIN_RUN_S)
         if worker_identity.hardware and declared_s > 0:
             normalized_s = self._learn_slowdown(
-                customer, service, declared_s, worker_identity, run_s
+                self._fits.get((customer, service)),
+                declared_s,
+                worker_identity,
+                run_s,
+                now_s,
             )
         else:
             normalized_s = run_s * self.speed(worker_identity.worker)
@@ -220,20 +200,18 @@
 
     def _learn_slowdown(
         self,
-        customer: str,
-        service: str,
+        fit: _DeclarationFit | None,
         declared_s: float,
         worker_identity: WorkerIdentity,
         run_s: float,
+        now_s: float,
     ) -> float:
-        """Updates a kind of host's slowdown; returns the run time divided by it."""
-        log_slowdown = self._log_slowdowns.setdefault(
-            worker_identity.hardware, _LogMean()
-        )
-        fit = self._fits.get((customer, service))
+        """Updates a worker's slowdown; returns the run time divided by it."""
         if fit is not None and fit.weight >= _FIT_MIN_WEIGHT:
-            log_slowdown.add(math.log(run_s / fit.predict_run_s(declared_s)))
-        normalized_s = run_s / math.exp(log_slowdown.mean)
+            log_ratio = math.log(run_s / fit.predict_run_s(declared_s))
+            self._slowdowns.add(worker_identity, log_ratio, now_s)
+        log_slowdown = self._slowdowns.of_worker(worker_identity) or 0.0
+        normalized_s = run_s / math.exp(log_slowdown)
         self._log_declared_ratio.add(math.log(declared_s / normalized_s))
         return normalized_s
 
