leased: bound the orders in flight at a worker

Hundreds of starts at once, each followed by repeated stops, kept an agent busy for good. backends/order_limiter.py keeps at most 60 orders in flight (8 at a silent worker), sends stops before starts and renewals at once, withdraws a queued start that is stopped, and answers a start that waited 0.4 s with LATE, unsent.

--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -31,6 +31,7 @@
 
 from gooseberrylink.backends.client import BackendOutcome, BackendOwner
 from gooseberrylink.backends.fencing import FencingToken
+from gooseberrylink.backends.order_limiter import LimitedRunClient
 from gooseberrylink.backends.runs import (
     ControlReply,
     EndKind,
@@ -192,7 +193,7 @@
             owner: The agent that uses the backend server.
         """
         self.is_open = False
-        self._client = client
+        self._client = LimitedRunClient(client, metrics)
         self._fencing_token = FencingToken(fencing_token)
         self._settings = settings
         self._metrics = metrics
@@ -354,8 +355,7 @@
             if self._nursery is not None:
                 self._nursery.start_soon(self._report_if_unconfirmed, run)
         elif run.started_s is None:
-            is_evidence = reply is StartReply.UNHEALTHY
-            return _refusal(reply.value, is_evidence)
+            return _refusal(reply.value, reply is StartReply.UNHEALTHY)
         await run.ended.wait()
         return self._outcome(run)
 
