declarations: adopt a desired state without routes

A desired state without routes is valid and drops all routes; it was refused, and the dropped route stayed in force. The models now accept it, and also states without services, names of any form and any maxBodyBytes.

--- a/gooseberrylink/operators/declarations.py
+++ b/gooseberrylink/operators/declarations.py
@@ -1,14 +1,21 @@
-"""Defines and validates the operators' declarations: inventory and rules."""
+"""Defines and validates the operators' declarations: inventory and rules.
 
+The models accept whatever a desired state on a platform may hold, such as no customer.
+find_errors() finds what is a mistake in a file of declarations.
+"""
+
+import re
 from typing import Annotated
 
 from pydantic import Field
 
-from gooseberrylink.settings import Name, Seconds
+from gooseberrylink.settings import NAME_PATTERN, Name, Seconds
 from gooseberrylink.yaml_file import StrictModel, parse_model
 
 DEFAULT_MAX_TASKS_PER_JOB = 140
 DEFAULT_LONG_AFTER_S = 1.0
+# A file with a lower max_body_bytes is refused, as it would refuse nearly all jobs.
+_MIN_BODY_BYTES = 1024
 
 # Path of the field, and a message; see StrictModel.find_errors.
 FieldError = tuple[tuple[str | int, ...], str]
@@ -39,7 +46,7 @@
         max_deadline_s: Longest deadline that a job may have.
     """
 
-    name: Name
+    name: str
     never_repeat: bool = False
     long_after_s: Seconds = DEFAULT_LONG_AFTER_S
     default_deadline_s: Seconds = 30.0
@@ -73,7 +80,7 @@
     """
 
     sites: list[Site] = Field(min_length=1)
-    services: list[Service] = Field(min_length=1)
+    services: list[Service]
     workers: list[Worker] = []
 
 
@@ -88,7 +95,7 @@
         precedence: Customers with a higher value are served first.
     """
 
-    name: Name
+    name: str
     quota_starts_per_s: Annotated[float, Field(gt=0)] | None = None
     burst_s: Seconds = 2.0
     weight: float = Field(default=1.0, gt=0)
@@ -128,14 +135,14 @@
     """
 
     max_tasks_per_job: int = Field(default=DEFAULT_MAX_TASKS_PER_JOB, ge=1, le=1000)
-    max_body_bytes: int = Field(default=4 * 1024 * 1024, ge=1024)
+    max_body_bytes: int = Field(default=4 * 1024 * 1024, ge=0)
     max_queued_tasks: int = Field(default=20_000, ge=1)
 
 
 class Rules(StrictModel):
     """Rules on customers, queues and limits."""
 
-    customers: list[Customer] = Field(min_length=1)
+    customers: list[Customer]
     queues: list[Queue] = []
     limits: Limits = Limits()
 
@@ -149,11 +156,34 @@
     def find_errors(self) -> list[FieldError]:
         """See StrictModel."""
         return [
+            *self._find_values_out_of_bounds(),
             *self._find_duplicate_names(),
             *self._find_unknown_names(),
             *self._find_invalid_deadlines(),
         ]
 
+    def _find_values_out_of_bounds(self) -> list[FieldError]:
+        errors: list[FieldError] = []
+        for path, items in (
+            (("inventory", "services"), self.inventory.services),
+            (("rules", "customers"), self.rules.customers),
+        ):
+            if not items:
+                errors.append((path, "is empty, expected at least one"))
+            for index, item in enumerate(items):
+                if not re.fullmatch(NAME_PATTERN, item.name):
+                    message = f"invalid name {item.name!r}, expected {NAME_PATTERN}"
+                    errors.append(((*path, index, "name"), message))
+        max_body_bytes = self.rules.limits.max_body_bytes
+        if max_body_bytes < _MIN_BODY_BYTES:
+            errors.append(
+                (
+                    ("rules", "limits", "max_body_bytes"),
+                    f"{max_body_bytes} bytes, expected at least {_MIN_BODY_BYTES}",
+                )
+            )
+        return errors
+
     def _find_duplicate_names(self) -> list[FieldError]:
         inventory = self.inventory
         services = [service.name for service in inventory.services]
--- a/gooseberrylink/settings.py
+++ b/gooseberrylink/settings.py
@@ -16,7 +16,8 @@
 
 Address = Annotated[str, AfterValidator(_validate_address)]
 Seconds = Annotated[float, Field(gt=0, allow_inf_nan=False)]
-Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,63}$")]
+NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,63}$"
+Name = Annotated[str, Field(pattern=NAME_PATTERN)]
 PolicyName = Literal["late-binding", "least-in-flight", "random"]
 
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -2,6 +2,7 @@
 
 import pytest
 import trio
+import yaml
 
 from gooseberrylink.codes import Code
 from gooseberrylink.exceptions import ConfigError
@@ -236,3 +237,27 @@
     line = next(line for line in error.value.errors if message in line)
     assert line.startswith("file.yaml:")
     assert int(line.split(":")[1]) > 1
+
+
+@pytest.mark.parametrize(
+    "path, change, message",
+    [
+        (("inventory", "services"), [], "is empty, expected at least one"),
+        (("rules", "customers"), [], "is empty, expected at least one"),
+        (("rules", "limits"), {"max_body_bytes": 100}, "expected at least 1024"),
+        (("rules", "customers", 0, "name"), "x" * 65, "invalid name"),
+        (("inventory", "services", 0, "name"), "a b", "invalid name"),
+    ],
+)
+def test_file_of_declarations_that_is_a_mistake_is_refused(
+    declarations_text, path, change, message
+):
+    # A desired state on a platform may hold any of these.
+    data = yaml.safe_load(declarations_text)
+    parent = data
+    for key in path[:-1]:
+        parent = parent[key]
+    parent[path[-1]] = change
+    with pytest.raises(ConfigError) as error:
+        to_canonical(yaml.safe_dump(data), "file")
+    assert message in str(error.value)
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -424,6 +424,30 @@
     assert receiver.config_version >= 0
 
 
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"routes": []},
+        {"routes": [], "services": []},
+        {"services": [{"name": "s" * 65}, {"name": "_s 1"}]},
+        {"routes": [STATE["routes"][0] | {"name": "r" * 65}]},
+        {"limits": {"maxBodyBytes": 100}},
+    ],
+)
+def test_desired_state_beyond_the_limits_of_a_file_is_adopted(changes):
+    # A state without routes was refused, and jobs on the dropped route went on.
+    receiver = AdoptingReceiver()
+    source = ChangeFeedSource(None, {"north": "coast"}, Metrics("entry", "e"))
+    source._adopt(receiver, json.dumps(STATE).encode())
+    later = STATE | {"version": STATE["version"] + 1} | changes
+    source._adopt(receiver, json.dumps(later).encode())
+    assert receiver.config_version == later["version"]
+    rules = receiver.configuration.declarations.rules
+    assert [queue.name for queue in rules.queues] == [
+        route["name"] for route in later["routes"]
+    ]
+
+
 def test_desired_state_whose_version_fits_into_no_frame_is_not_adopted():
     receiver = AdoptingReceiver()
     source = ChangeFeedSource(None, {"north": "coast"}, Metrics("entry", "e"))
