entry_peer: dial again soon after an entry was away

The first packet to a dark host is lost, and the dial hung for 1 s, after which the pause had doubled several times. The time limit of a dial is now 0.12 s at first and the pause 0.05 s; both grow in proportion to the time without a link. A cancelled dial over gRPC closes its channel.

--- a/gooseberrylink/peers/entry_peer.py
+++ b/gooseberrylink/peers/entry_peer.py
@@ -29,8 +29,12 @@
 if TYPE_CHECKING:
     from gooseberrylink.agent import Agent
 
-_RECONNECT_BACKOFF_MIN_S = 0.1
-_RECONNECT_BACKOFF_MAX_S = 2.0
+# Load pattern: all hosts lose power at once, and come back within some seconds of one
+# another. A packet to a dark host is lost, and TCP repeats it only after 1 s, so a short
+# time limit of the first dials counts more than the pause between them. Both grow with
+# the time without a link, so that an entry over a slow network is reached, too.
+_MIN_DIAL_S, _MAX_DIAL_S, _DIAL_SHARE = 0.12, 1.0, 0.1
+_MIN_PAUSE_S, _MAX_PAUSE_S, _PAUSE_SHARE = 0.05, 2.0, 0.05
 _HELLO_TIMEOUT_S = 5.0
 
 
@@ -83,19 +87,26 @@
 
     async def run(self) -> None:
         """Dials the entry, and again whenever the link closes, until cancelled."""
-        backoff_s = _RECONNECT_BACKOFF_MIN_S
+        unlinked_since_s = trio.current_time()
         while True:
-            link = await self._dial()
+            link = await self._dial(trio.current_time() - unlinked_since_s)
             if link is not None and await self._serve(link):
-                backoff_s = _RECONNECT_BACKOFF_MIN_S
-            await trio.sleep(backoff_s * self._agent.random.uniform(0.5, 1.0))
-            backoff_s = min(2 * backoff_s, _RECONNECT_BACKOFF_MAX_S)
+                unlinked_since_s = trio.current_time()
+            pause_s = _PAUSE_SHARE * (trio.current_time() - unlinked_since_s)
+            pause_s = min(_MAX_PAUSE_S, max(_MIN_PAUSE_S, pause_s))
+            await trio.sleep(pause_s * self._agent.random.uniform(0.5, 1.0))
 
-    async def _dial(self) -> Link | None:
-        """Opens a link; returns None if that failed."""
+    async def _dial(self, unlinked_s: float) -> Link | None:
+        """Opens a link; returns None if that failed.
+
+        Args:
+            unlinked_s: Time without a link, in seconds.
+        """
+        limit_s = min(_MAX_DIAL_S, max(_MIN_DIAL_S, _DIAL_SHARE * unlinked_s))
         try:
-            return await self._agent.dialer.dial(self.address)
-        except LinkClosedError as error:
+            with trio.fail_after(limit_s):
+                return await self._agent.dialer.dial(self.address)
+        except (LinkClosedError, trio.TooSlowError) as error:
             self._record_failure("dial", error)
             return None
 
--- a/gooseberrylink/peers/grpc_link.py
+++ b/gooseberrylink/peers/grpc_link.py
@@ -182,6 +182,9 @@
             raise LinkClosedError(
                 f"can't connect to {address} within {_CONNECT_TIMEOUT_S} s"
             ) from None
+        except asyncio.CancelledError:
+            await channel.close()
+            raise
         return channel
 
     async def _run_stream(self, channel: aio.Channel, link: GrpcLink) -> None:
