entry_choice: replace entries that don't answer, forget those that are gone

Agents chose among all addresses that ever registered. entry_choice.py dials ever more of them by hash while the chosen ones don't answer (4 s without a link, 6 s with too few), links only as many as wanted, closes none, and forgets an address dialled in vain for 120 s while another entry was linked.

--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -9,7 +9,6 @@
 import msgspec
 import trio
 
-from gooseberrylink.addresses import split_address
 from gooseberrylink.assignment_table import (
     AssignmentRecord,
     AssignmentTable,
@@ -24,7 +23,7 @@
 from gooseberrylink.backends.leased import STALLED
 from gooseberrylink.crash_history import CrashHistory
 from gooseberrylink.customer_demand_table import CustomerDemandTable
-from gooseberrylink.exceptions import MalformedAddressError
+from gooseberrylink.entry_choice import EntryChoice
 from gooseberrylink.logs import log_event
 from gooseberrylink.metrics import Metrics
 from gooseberrylink.operators.configuration import Configuration
@@ -45,7 +44,6 @@
     Status,
     UnconfirmedStart,
 )
-from gooseberrylink.rendezvous import choose_by_rendezvous_hash
 from gooseberrylink.resources import NO_RESOURCES, Resources
 from gooseberrylink.settings import AgentSettings
 from gooseberrylink.slot_allocator import SlotAllocator
@@ -75,6 +73,7 @@
         speed: Relative speed at which tasks run at present; 0 if unknown.
         crash_history: Runs that were lost with this agent's backend servers, and
             those that entries passed on.
+        entry_choice: Chooses the entries to connect to.
     """
 
     def __init__(
@@ -110,7 +109,9 @@
         self._running: dict[str, AssignmentRecord] = {}
         self._long_assignment_ids: set[str] = set()
         self._peers: dict[str, EntryPeer] = {}
-        self._known_entries: set[str] = set(settings.entries)
+        self.entry_choice = EntryChoice(
+            settings.worker, settings.entries, settings.max_entries, self.metrics
+        )
         self._can_dial = False
         self._backend_opened = trio.Event()
         self._task_admitted = trio.Event()
@@ -296,32 +297,17 @@
             service=self.service,
             slots=self.allocator.slots,
             clock_s=now_s,
-            entries=sorted(self._known_entries),
+            entries=self.entry_choice.known(),
             config_version=self.configuration.version,
             speed_hint=self._announcement.speed_hint if self._announcement else 1.0,
             earlier_runs_left_s=max(0.0, earlier_runs_end_s - now_s),
         )
 
     def add_known_entries(self, addresses: list[str]) -> None:
-        """Adds addresses of entries, and connects to those chosen by hashing."""
-        new_addresses = {
-            address
-            for address in addresses
-            if address not in self._known_entries and self._is_well_formed(address)
-        }
-        if new_addresses:
-            self._known_entries.update(new_addresses)
+        """Adds addresses of entries, and connects to the chosen ones."""
+        if self.entry_choice.add(addresses, trio.current_time()):
             self._connect_chosen_entries()
 
-    def _is_well_formed(self, address: str) -> bool:
-        try:
-            split_address(address)
-        except MalformedAddressError as error:
-            self.metrics.add("entry_addresses_malformed")
-            log_event("entry_address_malformed", "WARNING", error=error)
-            return False
-        return True
-
     def handle_frame(self, peer: EntryPeer, frame: EntryFrame) -> None:
         """Handles a frame from an entry."""
         now_s = trio.current_time()
@@ -794,13 +780,13 @@
     def _connect_chosen_entries(self) -> None:
         if not self._can_dial:
             return
-        chosen = choose_by_rendezvous_hash(
-            self.settings.worker, self._known_entries, self.settings.max_entries
-        )
-        for address in chosen:
+        now_s = trio.current_time()
+        for address in self.entry_choice.choose(now_s):
             if address not in self._peers:
                 self._peers[address] = EntryPeer(self, address)
                 self._nursery.start_soon(self._peers[address].run)
+        for address in self.entry_choice.forget_gone(now_s):
+            del self._peers[address]
 
     def _update_task_limit(self) -> None:
         now_s = trio.current_time()
@@ -839,6 +825,7 @@
             self._update_task_limit()
             self._reclassify_overruns(now_s)
             self._start_held(now_s)
+            self._connect_chosen_entries()
             self.assignments.purge_expired(now_s)
 
     def _next_maintenance_interval_s(self) -> float:
--- a/gooseberrylink/entry.py
+++ b/gooseberrylink/entry.py
@@ -69,6 +69,7 @@
         self.peers: dict[str, AgentPeer] = {}
         self._source = source or PollingSource(platform, settings.config_poll_s)
         self._known_entries: set[str] = set(settings.entries)
+        self._entries_by_worker: dict[str, list[str]] = {}
         self._jobs_by_caller_job_id: dict[tuple[str, str], Job] = {}
         self._is_configuration_confirmed = False
         self._unanswered_job_count = 0
@@ -236,7 +237,15 @@
 
     def handle_agent_connected(self, peer: AgentPeer, hello: AgentHello) -> None:
         """Updates entries, pool and speed from an agent's hello; assigns tasks."""
-        self._known_entries.update(hello.entries)
+        self._entries_by_worker[peer.worker] = hello.entries
+        # What no connected agent knows any more is forgotten.
+        self._known_entries = set(self.settings.entries).union(
+            *(
+                entries
+                for worker, entries in self._entries_by_worker.items()
+                if worker == peer.worker or self.peers[worker].is_connected
+            )
+        )
         self.dispatcher.move_peer(peer, hello.service)
         self.dispatcher.run_times.set_initial_speed(peer.worker, hello.speed_hint)
         self.dispatcher.assign_queued_tasks(hello.service)
--- a/gooseberrylink/peers/entry_peer.py
+++ b/gooseberrylink/peers/entry_peer.py
@@ -30,9 +30,9 @@
     from gooseberrylink.agent import Agent
 
 # Load pattern: all hosts lose power at once, and come back within some seconds of one
-# another. A packet to a dark host is lost, and TCP repeats it only after 1 s, so a short
-# time limit of the first dials counts more than the pause between them. Both grow with
-# the time without a link, so that an entry over a slow network is reached, too.
+# another. A packet to a dark host is lost, and TCP repeats it only after 1 s, so a
+# short time limit of the first dials counts more than the pause between them. Both grow
+# with the time without a link, so that an entry over a slow network is reached, too.
 _MIN_DIAL_S, _MAX_DIAL_S, _DIAL_SHARE = 0.12, 1.0, 0.1
 _MIN_PAUSE_S, _MAX_PAUSE_S, _PAUSE_SHARE = 0.05, 2.0, 0.05
 _HELLO_TIMEOUT_S = 5.0
@@ -86,11 +86,17 @@
         return self._session is not None
 
     async def run(self) -> None:
-        """Dials the entry, and again whenever the link closes, until cancelled."""
+        """Dials the entry, and again whenever the link closes, until it is gone."""
+        choice = self._agent.entry_choice
         unlinked_since_s = trio.current_time()
-        while True:
-            link = await self._dial(trio.current_time() - unlinked_since_s)
-            if link is not None and await self._serve(link):
+        while self.address in choice:
+            link = None
+            if choice.wants(self.address, trio.current_time()):
+                link = await self._dial(trio.current_time() - unlinked_since_s)
+            if link and not choice.wants(self.address, trio.current_time()):
+                # Others have answered meanwhile.
+                link.close()
+            elif link and await self._serve(link):
                 unlinked_since_s = trio.current_time()
             pause_s = _PAUSE_SHARE * (trio.current_time() - unlinked_since_s)
             pause_s = min(_MAX_PAUSE_S, max(_MIN_PAUSE_S, pause_s))
@@ -126,10 +132,13 @@
 
     async def _serve(self, link: Link) -> bool:
         """Serves one link until it closes; returns whether hellos were exchanged."""
+        choice = self._agent.entry_choice
+        choice.record_opening(self.address, trio.current_time())
         try:
             hello = await self._exchange_hellos(link)
         except (LinkClosedError, msgspec.MsgspecError, trio.TooSlowError) as error:
             link.close()
+            choice.record_disconnected(self.address, trio.current_time())
             self._record_failure("hello", error)
             return False
         self._has_failed = False
@@ -140,6 +149,7 @@
             await session.run()
         finally:
             self._session = None
+            choice.record_disconnected(self.address, trio.current_time())
             agent.handle_entry_disconnected(self)
         return True
 
@@ -172,6 +182,7 @@
         self._unsent_starts.clear()
         self._unsent_starts.extend(self._agent.unconfirmed_starts())
         log_event("entry_connected", entry=hello.entry, address=self.address)
+        self._agent.entry_choice.record_connected(self.address, trio.current_time())
         self._agent.handle_entry_connected(self)
         # The old link may have lost results or their acknowledgements.
         self._agent.resend_results(self)
--- a/gooseberrylink/platform/store.py
+++ b/gooseberrylink/platform/store.py
@@ -38,10 +38,23 @@
     value: str
 
 
+class _VersionOfRow(msgspec.Struct):
+    table: str
+    part: str
+    key: str
+    ver: int
+
+
+class _RemovedRow(msgspec.Struct):
+    table: str
+    part: str
+    key: str
+
+
 class _Transaction(msgspec.Struct):
-    precondition: list[_PutRow]
+    precondition: list[_VersionOfRow]
     puts: list[_PutRow]
-    remove: list[_PutRow]
+    remove: list[_RemovedRow]
 
 
 _decode_rows_response = msgspec.json.Decoder(_RowsResponse).decode
@@ -95,7 +108,16 @@
     async def put(self, table: str, key: str, value: bytes) -> StoreErrorKind | None:
         """See RowStore."""
         row = _PutRow(table, "", key, base64.b64encode(value).decode())
-        body = msgspec.json.encode(_Transaction([], [row], []))
+        return await self._transact(_Transaction([], [row], []))
+
+    async def remove(self, table: str, row: StoredRow) -> StoreErrorKind | None:
+        """See RowStore."""
+        version = _VersionOfRow(table, "", row.key, row.version)
+        removed = _RemovedRow(table, "", row.key)
+        return await self._transact(_Transaction([version], [], [removed]))
+
+    async def _transact(self, transaction: _Transaction) -> StoreErrorKind | None:
+        body = msgspec.json.encode(transaction)
         response = await self._client.call("POST", "/rows-tx", _CALL_TIMEOUT_S, body)
         if response is not None and response.status == 200:
             return None
@@ -119,10 +141,10 @@
     rows = []
     for row in response.rows:
         if row.tombstone:
-            rows.append(StoredRow(row.key, None))
+            rows.append(StoredRow(row.key, None, row.ver))
             continue
         try:
-            rows.append(StoredRow(row.key, base64.b64decode(row.value)))
+            rows.append(StoredRow(row.key, base64.b64decode(row.value), row.ver))
         except (binascii.Error, ValueError):
             log_event("store_row_malformed", "WARNING", key=row.key)
     return rows
--- a/gooseberrylink/standins/store.py
+++ b/gooseberrylink/standins/store.py
@@ -43,7 +43,10 @@
         """Writes a row, as another client of the store would."""
         self._version += 1
         encoded = base64.b64encode(value).decode()
-        row = {"table": table, "key": key, "value": encoded, "ver": self._version}
+        self._write(table, key, {"value": encoded})
+
+    def _write(self, table: str, key: str, fields: dict[str, Any]) -> None:
+        row = {"table": table, "key": key, "ver": self._version} | fields
         self._rows[table, key] = row
         self._changed.set()
         self._changed = trio.Event()
@@ -55,7 +58,7 @@
     def get_value(self, table: str, key: str) -> bytes | None:
         """Returns a row's value, or None if there is no such row."""
         row = self._rows.get((table, key))
-        return base64.b64decode(row["value"]) if row else None
+        return base64.b64decode(row["value"]) if row and "value" in row else None
 
     async def _get(self, request: Request) -> Response:
         self.request_paths.append(request.url.path)
@@ -63,7 +66,7 @@
             return JSONResponse({}, 503)
         query = request.query_params
         start, end = query.get("from", ""), query.get("target", "\U0010ffff")
-        rows = self._rows_after(query["table"], 0)
+        rows = [row for row in self._rows_after(query["table"], 0) if "value" in row]
         return self._respond([row for row in rows if start <= row["key"] < end])
 
     async def _feed(self, request: Request) -> Response:
@@ -84,6 +87,12 @@
         if self.is_down:
             return JSONResponse({}, 503)
         body = await request.json()
+        for row in body["precondition"]:
+            if self._rows[row["table"], row["key"]]["ver"] != row["ver"]:
+                return JSONResponse({}, 412)
+        for row in body["remove"]:
+            self._version += 1
+            self._write(row["table"], row["key"], {"tombstone": True})
         for put in body["puts"]:
             value = base64.b64decode(put["value"])
             self.put(put["table"], put["key"], value)
--- a/gooseberrylink/store.py
+++ b/gooseberrylink/store.py
@@ -35,10 +35,16 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class StoredRow:
-    """A row of a table; value is None if the row was removed."""
+    """A row of a table.
+
+    Attributes:
+        value: None if the row was removed.
+        version: Version of the store in which it was last written.
+    """
 
     key: str
     value: bytes | None
+    version: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -70,6 +76,12 @@
     async def put(self, table: str, key: str, value: bytes) -> StoreErrorKind | None:
         """Writes a row unconditionally; returns why it failed, or None."""
 
+    async def remove(self, table: str, row: StoredRow) -> StoreErrorKind | None:
+        """Removes a row unless it was written again; returns why it failed, or None.
+
+        A row that was written again gives NO_EFFECT.
+        """
+
 
 async def watch_table(
     store: RowStore,
