--- a/gooseberrylink/standins/store.py
+++ b/gooseberrylink/standins/store.py
@@ -43,7 +43,10 @@
         """Writes a row, as another client of the store would."""
         self._version += 1
         encoded = base64.b64encode(value).decode()
-        row = {"table": table, "key": key, "value": encoded, "ver": self._version}
+        self._write(table, key, {"value": encoded})
+
+    def _write(self, table: str, key: str, fields: dict[str, Any]) -> None:
+        row = {"table": table, "key": key, "ver": self._version} | fields
         self._rows[table, key] = row
         self._changed.set()
         self._changed = trio.Event()
@@ -92,6 +95,12 @@
         if self.is_down:
             return JSONResponse({}, 503)
         body = await request.json()
+        for row in body["precondition"]:
+            if self._rows[row["table"], row["key"]]["ver"] != row["ver"]:
+                return JSONResponse({}, 412)
+        for row in body["remove"]:
+            self._version += 1
+            self._write(row["table"], row["key"], {"tombstone": True})
         for put in body["puts"]:
             value = base64.b64decode(put["value"])
             self.put(put["table"], put["key"], value)
