--- a/gooseberrylink/entry_daemon.py
+++ b/gooseberrylink/entry_daemon.py
@@ -8,6 +8,7 @@
 from gooseberrylink.asgi import App
 from gooseberrylink.entry import Entry
 from gooseberrylink.http_server import serve_http
+from gooseberrylink.learned_store import LearnedEstimatesKeeper
 from gooseberrylink.logs import log_event
 from gooseberrylink.metrics import Metrics
 from gooseberrylink.operators.configuration_source import ConfigurationSource
@@ -15,6 +16,7 @@
 from gooseberrylink.platform.table_service import HttpTableServiceClient
 from gooseberrylink.settings import EntrySettings
 from gooseberrylink.shutdown import run_until_signal
+from gooseberrylink.store import RowStore
 
 _HTTP_GRACE_S = 5.0
 
@@ -35,11 +37,13 @@
         configuration_source: Where configurations come from; None for the platform's
             table.
         background_task: Runs alongside the entry until the entry stops.
+        row_store: The platform's table store; None if there is none.
     """
 
     make_app: Callable[[Entry], App] = _make_callers_app
     configuration_source: ConfigurationSource | None = None
     background_task: Callable[[Entry], Awaitable[None]] | None = None
+    row_store: RowStore | None = None
 
 
 class EntryDaemon:
@@ -76,6 +80,8 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(self.entry.run)
             nursery.start_soon(self._accept_links)
+            if settings.learned_interval_s:
+                nursery.start_soon(self._keep_learned_estimates)
             if self._components.background_task is not None:
                 nursery.start_soon(self._components.background_task, self.entry)
             self.callers_address = await nursery.start(self._serve_callers)
@@ -114,6 +120,20 @@
         )
         self._callers_server_stopped.set()
 
+    async def _keep_learned_estimates(self) -> None:
+        store, entry = self._components.row_store, self.entry
+        if store is None:
+            log_event("learned_estimates_not_kept", "WARNING", reason="no_table_store")
+            return
+        keeper = LearnedEstimatesKeeper(
+            store,
+            self._settings,
+            entry.dispatcher.run_times,
+            entry.metrics,
+            entry.random,
+        )
+        await keeper.run(lambda: 1 + len(entry.other_entries()))
+
     async def _accept_links(self) -> None:
         async with trio.open_nursery() as nursery:
             while True:
--- a/gooseberrylink/exceptions.py
+++ b/gooseberrylink/exceptions.py
@@ -53,6 +53,18 @@
         self.retry_after_s = retry_after_s
 
 
+class UnreadableEstimatesError(GooseberrylinkError):
+    """Stored estimates can't be used.
+
+    Attributes:
+        reason: snake_case reason, for counters.
+    """
+
+    def __init__(self, reason: str, detail: str):
+        super().__init__(detail)
+        self.reason = reason
+
+
 def first_leaf(group: BaseExceptionGroup) -> BaseException:
     """Returns the first exception in a group that is not a group itself."""
     error: BaseException = group
--- a/gooseberrylink/platform/entry_program.py
+++ b/gooseberrylink/platform/entry_program.py
@@ -37,6 +37,9 @@
 # It is long enough for a caller to send its next job over a connection that it kept
 # open.
 _DRAIN_QUIET_S = 0.4
+# Calls to the store are priced: half a call a second for all entries, and a row is
+# seldom older than half a minute.
+_LEARNED_INTERVAL_S = 4.0
 
 
 class EntryProgram:
@@ -49,7 +52,10 @@
         self._store = PlatformStore(settings.platform.address, metrics)
         source = ChangeFeedSource(self._store, settings.zones, metrics)
         components = EntryComponents(
-            lambda entry: JobApi(entry).app, source, self._run_background_tasks
+            lambda entry: JobApi(entry).app,
+            source,
+            self._run_background_tasks,
+            self._store,
         )
         self._daemon = EntryDaemon(
             _entry_settings(settings), TcpListener(), components, metrics
@@ -108,5 +114,6 @@
         remote_factor=settings.bounds.remote_factor,
         rerun_after_silence_s=RERUN_AFTER_SILENCE_S,
         max_late_start_s=MAX_LATE_START_S,
+        learned_interval_s=_LEARNED_INTERVAL_S,
         **link_settings(),
     )
--- a/gooseberrylink/run_times.py
+++ b/gooseberrylink/run_times.py
@@ -2,7 +2,15 @@
 
 import dataclasses
 import math
-
+from typing import TypeVar
+
+from gooseberrylink.scheduling.learned import (
+    MAX_SIZE,
+    ClassSummary,
+    FitSummary,
+    LearnedEstimates,
+    WorkerSummary,
+)
 from gooseberrylink.scheduling.worker_slowdowns import (
     LogMean,
     WorkerIdentity,
@@ -20,6 +28,17 @@
 # A fit to fewer tasks is not used.
 _FIT_MIN_WEIGHT = 10.0
 _FIT_MIN_VARIANCE = 0.01
+# Customers and their services are new each day, and workers are replaced. The estimates
+# that were not used for longest are dropped.
+_MAX_CLASSES = 4096
+_MAX_FITS = 1024
+_MAX_SPEEDS = 4096
+# Weight of the factor between declared and expected run times that estimates of another
+# process imply, as a number of runs.
+_RATIO_SEED_WEIGHT = 20
+
+_Key = TypeVar("_Key")
+_Value = TypeVar("_Value")
 
 
 @dataclasses.dataclass(slots=True)
@@ -64,6 +83,28 @@
         self.sum_xx = self.sum_xx * _FIT_DECAY + x * x
         self.sum_xy = self.sum_xy * _FIT_DECAY + x * y
 
+    def summarize(self, key: tuple[str, str], log_scale: float) -> FitSummary:
+        """Returns a summary, with the logarithm of a factor added to run times."""
+        mean_x, mean_y = self.sum_x / self.weight, self.sum_y / self.weight
+        return FitSummary(
+            *key,
+            _to_milli(mean_x),
+            _to_milli(mean_y + log_scale),
+            _to_milli(max(0.0, self.sum_xx / self.weight - mean_x * mean_x)),
+            _to_milli(self.sum_xy / self.weight - mean_x * mean_y),
+        )
+
+    def add_summary(self, summary: FitSummary, log_scale: float) -> None:
+        """Adds a summary, as so many tasks that the fit is used from now on."""
+        mean_x = summary.mean_x / 1000
+        mean_y = summary.mean_y / 1000 - log_scale
+        weight = _FIT_MIN_WEIGHT
+        self.weight += weight
+        self.sum_x += weight * mean_x
+        self.sum_y += weight * mean_y
+        self.sum_xx += weight * (summary.variance_x / 1000 + mean_x * mean_x)
+        self.sum_xy += weight * (summary.covariance / 1000 + mean_x * mean_y)
+
     def predict_run_s(self, declared_s: float) -> float:
         """Returns the expected run time for a declared one, in seconds."""
         x = math.log(declared_s)
@@ -93,6 +134,7 @@
     """
 
     def __init__(self):
+        self.run_count = 0
         self._classes: dict[tuple[str, str, int], _ClassEstimate] = {}
         self._fits: dict[tuple[str, str], _DeclarationFit] = {}
         self._speeds: dict[str, float] = {}
@@ -146,7 +188,8 @@
 
     def set_initial_speed(self, worker: str, speed: float) -> None:
         """Sets the speed of a worker whose speed is not known yet."""
-        self._speeds.setdefault(worker, _clamp(speed))
+        speed = self._speeds.get(worker, _clamp(speed))
+        _touch(self._speeds, worker, speed, _MAX_SPEEDS)
 
     def record_run(
         self,
@@ -169,6 +212,7 @@
             long_after_s: Run time from which a task counts as long.
             now_s: Time at which it completed, in seconds.
         """
+        self.run_count += 1
         run_s = max(run_s, _MIN_RUN_S)
         if worker_identity.hardware and declared_s > 0:
             normalized_s = self._learn_slowdown(
@@ -181,7 +225,8 @@
         else:
             normalized_s = run_s * self.speed(worker_identity.worker)
         if declared_s > 0:
-            fit = self._fits.setdefault((customer, service), _DeclarationFit())
+            fit = self._fits.get((customer, service)) or _DeclarationFit()
+            _touch(self._fits, (customer, service), fit, _MAX_FITS)
             fit.add(declared_s, normalized_s)
         key = _class_key(customer, service, declared_s)
         estimate = self._classes.get(key)
@@ -189,15 +234,79 @@
             estimate = _ClassEstimate(
                 math.log(normalized_s), normalized_s, float(run_s >= long_after_s)
             )
-            self._classes[key] = estimate
         elif not worker_identity.hardware:
             self._learn_speed(worker_identity.worker, estimate, run_s)
+        _touch(self._classes, key, estimate, _MAX_CLASSES)
         estimate.count += 1
         rate = max(_LEARNING_RATE, 1.0 / estimate.count)
         estimate.mean_log_s += rate * (math.log(normalized_s) - estimate.mean_log_s)
         estimate.mean_s += rate * (normalized_s - estimate.mean_s)
         estimate.long_share += rate * ((run_s >= long_after_s) - estimate.long_share)
 
+    def summarize(self) -> LearnedEstimates:
+        """Returns a summary of what was learnt, relative to declared run times."""
+        log_scale = self._log_declared_ratio.mean
+        return LearnedEstimates(
+            types={
+                hardware: _to_milli(log_slowdown - log_scale)
+                for hardware, log_slowdown in self._slowdowns.known_types().items()
+            },
+            workers=[
+                WorkerSummary(
+                    identity.worker,
+                    identity.hardware,
+                    identity.born_ms,
+                    _to_milli(log_slowdown - log_scale),
+                )
+                for identity, log_slowdown in self._slowdowns.known_workers().items()
+            ],
+            fits=[
+                fit.summarize(key, log_scale)
+                for key, fit in self._fits.items()
+                if fit.weight >= _FIT_MIN_WEIGHT
+            ],
+            classes=[
+                ClassSummary(
+                    *key,
+                    _to_milli(estimate.mean_log_s + log_scale),
+                    _to_milli(math.log(estimate.mean_s) + log_scale),
+                    round(1000 * estimate.long_share),
+                )
+                for key, estimate in self._classes.items()
+                if estimate.count >= _PRIOR_WEIGHT and abs(key[2]) <= MAX_SIZE
+            ],
+        )
+
+    def adopt(self, learned: LearnedEstimates, now_s: float) -> None:
+        """Takes over estimates of other processes where there are none here.
+
+        They count for a few runs.
+        """
+        if not self._log_declared_ratio.count:
+            self._log_declared_ratio.count = _RATIO_SEED_WEIGHT
+        log_scale = self._log_declared_ratio.mean
+        for hardware, log_slowdown in learned.types.items():
+            self._slowdowns.seed_type(hardware, log_slowdown / 1000 + log_scale)
+        for worker in learned.workers:
+            identity = WorkerIdentity(worker.worker, worker.hardware, worker.born_ms)
+            log_slowdown = worker.log_slowdown / 1000 + log_scale
+            self._slowdowns.seed_worker(identity, log_slowdown, now_s)
+        for summary in learned.fits:
+            fit = self._fits.get(summary.key) or _DeclarationFit()
+            if fit.weight < _FIT_MIN_WEIGHT:
+                fit.add_summary(summary, log_scale)
+                _touch(self._fits, summary.key, fit, _MAX_FITS)
+        for summary in learned.classes:
+            known = self._classes.get(summary.key)
+            if known is None or known.count < _PRIOR_WEIGHT:
+                estimate = _ClassEstimate(
+                    summary.mean_log / 1000 - log_scale,
+                    math.exp(summary.log_mean / 1000 - log_scale),
+                    summary.long_permille / 1000,
+                    int(_PRIOR_WEIGHT),
+                )
+                _touch(self._classes, summary.key, estimate, _MAX_CLASSES)
+
     def _learn_slowdown(
         self,
         fit: _DeclarationFit | None,
@@ -239,6 +348,21 @@
     return customer, service, size
 
 
+def _to_milli(value: float) -> int:
+    """Returns a logarithm in thousandths, within the bounds of a summary."""
+    return min(20_000, max(-20_000, round(1000 * value)))
+
+
+def _touch(
+    values: dict[_Key, _Value], key: _Key, value: _Value, max_count: int
+) -> None:
+    """Stores a value as the newest; drops the oldest ones if there are too many."""
+    values.pop(key, None)
+    values[key] = value
+    while len(values) > max_count:
+        del values[next(iter(values))]
+
+
 def _clamp(speed: float) -> float:
     low, high = _SPEED_RANGE
     return min(high, max(low, speed))
--- a/gooseberrylink/scheduling/worker_slowdowns.py
+++ b/gooseberrylink/scheduling/worker_slowdowns.py
@@ -42,6 +42,13 @@
 _CHANGE_DEVIATIONS = 1.5
 # Weight of what was known before a change, as a number of runs.
 _WEIGHT_AFTER_CHANGE = 2.0
+# Weight of estimates that another process made, as a number of runs: of a worker while
+# its backend server is the same, and of a hardware type.
+_WORKER_SEED_WEIGHT = 6.0
+_TYPE_SEED_WEIGHT = 8.0
+# Probability that a host that announces another hardware type than before runs as
+# before.
+_RETYPED_SHARE = 0.5
 # Most runs that the mean of a worker is taken over: about two seconds.
 _MAX_WEIGHT = 20.0
 # Runs from which a worker tells something about the share that differs, or about the
@@ -104,6 +111,7 @@
         updated_s: Time of the last run.
         last_deviation: Deviation of the last run from the mean before it, in standard
             deviations.
+        is_retyped: Whether the worker announced another hardware type before.
     """
 
     hardware: str
@@ -112,6 +120,7 @@
     updated_s: float
     weight: float = 0.0
     last_deviation: float = 0.0
+    is_retyped: bool = False
 
     def weight_at(self, now_s: float, type_mean: float) -> float:
         """Returns the weight after the time without runs since the last one."""
@@ -165,11 +174,11 @@
             return type_mean
         if type_mean is None:
             return runs.mean
-        is_new = (runs.hardware, runs.born_ms) != (identity.hardware, identity.born_ms)
         weight = runs.weight_at(self._now_s, type_mean)
-        if is_new:
+        if (runs.hardware, runs.born_ms) != (identity.hardware, identity.born_ms):
             weight = min(weight, _WEIGHT_AFTER_CHANGE)
-        return type_mean + self._own_part(runs.mean - type_mean, weight)[0]
+        is_retyped = runs.is_retyped or runs.hardware != identity.hardware
+        return type_mean + self._own_part(runs.mean - type_mean, weight, is_retyped)[0]
 
     def add(self, identity: WorkerIdentity, log_ratio: float, now_s: float) -> None:
         """Learns from a run.
@@ -194,6 +203,38 @@
         if runs.weight >= _MIN_TELLING_WEIGHT:
             self._learn_spread(runs, type_mean.mean, deviation)
 
+    def known_types(self) -> dict[str, float]:
+        """Returns the logarithms of hardware types' slowdowns."""
+        return {hardware: mean.mean for hardware, mean in self._types.items()}
+
+    def known_workers(self) -> dict[WorkerIdentity, float]:
+        """Returns the logarithms of the slowdowns of workers that had enough runs."""
+        return {
+            WorkerIdentity(worker, runs.hardware, runs.born_ms): runs.mean
+            for worker, runs in self._workers.items()
+            if runs.weight >= _MIN_TELLING_WEIGHT
+        }
+
+    def seed_type(self, hardware: str, log_slowdown: float) -> None:
+        """Takes over an estimate, unless more runs were seen of this type."""
+        known = self._types.get(hardware)
+        if known is None or known.count < _TYPE_SEED_WEIGHT:
+            self._types[hardware] = LogMean(log_slowdown, _TYPE_SEED_WEIGHT)
+
+    def seed_worker(
+        self, identity: WorkerIdentity, log_slowdown: float, now_s: float
+    ) -> None:
+        """Takes over an estimate, unless runs of this worker were seen."""
+        if identity.worker in self._workers or self.worker_count >= MAX_WORKERS:
+            return
+        self._workers[identity.worker] = _WorkerRuns(
+            identity.hardware,
+            identity.born_ms,
+            log_slowdown,
+            now_s,
+            weight=_WORKER_SEED_WEIGHT,
+        )
+
     def _update_worker(self, identity: WorkerIdentity, type_mean: float) -> _WorkerRuns:
         """Returns the runs of a worker, weighted as of now."""
         runs = self._workers.get(identity.worker)
@@ -205,6 +246,7 @@
         runs.weight = runs.weight_at(self._now_s, type_mean)
         runs.updated_s = self._now_s
         if (runs.hardware, runs.born_ms) != (identity.hardware, identity.born_ms):
+            runs.is_retyped = runs.is_retyped or runs.hardware != identity.hardware
             runs.hardware, runs.born_ms = identity.hardware, identity.born_ms
             runs.weight = min(runs.weight, _WEIGHT_AFTER_CHANGE)
         return runs
@@ -223,7 +265,7 @@
     def _learn_spread(
         self, runs: _WorkerRuns, type_mean: float, deviation: float
     ) -> None:
-        differing = self._own_part(runs.mean - type_mean, runs.weight)[1]
+        differing = self._own_part(runs.mean - type_mean, runs.weight, False)[1]
         low, high = _DIFFERING_SHARE_RANGE
         rate = _DIFFERING_SHARE_LEARNING_RATE
         share = self.differing_share + rate * (differing - self.differing_share)
@@ -234,24 +276,30 @@
         variance = self._run_variance * (1.0 + rate * (relative - 1.0))
         self._run_variance = min(high**2, max(low**2, variance))
 
-    def _own_part(self, offset: float, weight: float) -> tuple[float, float]:
+    def _own_part(
+        self, offset: float, weight: float, is_retyped: bool
+    ) -> tuple[float, float]:
         """Weighs the runs of a worker against its type.
 
         Args:
             offset: Mean logarithm of its slowdown, less that of its type.
             weight: Number of runs that the mean counts for.
+            is_retyped: Whether the worker announced another type before.
 
         Returns:
             The expected logarithm of the worker's own factor, and the probability that
             it differs from its type.
         """
+        differing_share = self.differing_share
+        if is_retyped:
+            differing_share = max(differing_share, _RETYPED_SHARE)
         if weight <= 0:
-            return 0.0, self.differing_share
+            return 0.0, differing_share
         mean_variance = self._run_variance / weight
         total_likelihood = own_part = differing_likelihood = 0.0
         for share, deviation in (
-            (1 - self.differing_share, _AGREEING_DEVIATION),
-            (self.differing_share, _DIFFERING_DEVIATION),
+            (1 - differing_share, _AGREEING_DEVIATION),
+            (differing_share, _DIFFERING_DEVIATION),
         ):
             variance = deviation * deviation + mean_variance
             exponent = max(-500.0, -offset * offset / (2 * variance))
--- a/gooseberrylink/settings.py
+++ b/gooseberrylink/settings.py
@@ -167,6 +167,9 @@
             if no agent is connected yet.
         remote_factor: Factor by which a task takes longer on another rack than on
             the rack of its data.
+        learned_interval_s: Mean time between two writes of learnt estimates to the
+            platform's table store, by all entries together; 0 to keep none. Only
+            deployments with such a store keep them.
     """
 
     entry: Name
@@ -186,3 +189,4 @@
     rerun_after_silence_s: Seconds = 30.0
     agents_back_s: float = Field(default=0.0, ge=0)
     remote_factor: float = Field(default=1.0, ge=1)
+    learned_interval_s: float = Field(default=0.0, ge=0, allow_inf_nan=False)
