Keep worker slowdowns longer, and cache them

Cause: slow workers get no tasks while there is room, and were forgotten within 10 s; an estimate took 2.8 us, and an entry asks for some 60 a task.

--- a/gooseberrylink/scheduling/worker_slowdowns.py
+++ b/gooseberrylink/scheduling/worker_slowdowns.py
@@ -41,7 +41,11 @@
 # has changed.
 _CHANGE_DEVIATIONS = 1.5
 # Weight of what was known before a change, as a number of runs.
-_WEIGHT_AFTER_CHANGE = 2.0
+_WEIGHT_AFTER_CHANGE = 3.0
+# Two runs in a row that are longer by as many deviations show that a worker has become
+# slow. After the given number of further runs it counts as slow hardware.
+_TROUBLE_DEVIATIONS = 2.5
+_TROUBLE_RUNS = 20
 # Weight of estimates that another process made, as a number of runs: of a worker while
 # its backend server is the same, and of a hardware type.
 _WORKER_SEED_WEIGHT = 6.0
@@ -55,11 +59,13 @@
 # deviation of single runs.
 _MIN_TELLING_WEIGHT = 4.0
 # How fast the runs of a worker lose weight while it has none: slowly, because hardware
-# stays as it is. But a worker that is slower than its type by more than hardware types
-# differ (2.4) is in trouble, and probably recovers within seconds.
-_FORGET_S = 10.0
+# stays as it is. But a worker that has become slow, or is slower than its type by more
+# than hardware types differ (2.4), is in trouble, and probably recovers within seconds.
+_FORGET_S = 30.0
 _FORGET_TROUBLE_S = 0.7
 _TROUBLE_LOG_FACTOR = math.log(3.0)
+# An estimate is computed again after this time, or after a run of the worker.
+_RECOMPUTE_AFTER_S = 0.05
 # Workers without runs for this long are forgotten, at the latest when there are too
 # many.
 _GONE_AFTER_S = 120.0
@@ -112,6 +118,8 @@
         last_deviation: Deviation of the last run from the mean before it, in standard
             deviations.
         is_retyped: Whether the worker announced another hardware type before.
+        trouble_runs: Number of further runs for which the worker, which has become
+            slow, counts as being in trouble.
     """
 
     hardware: str
@@ -121,21 +129,24 @@
     weight: float = 0.0
     last_deviation: float = 0.0
     is_retyped: bool = False
+    trouble_runs: int = 0
 
     def weight_at(self, now_s: float, type_mean: float) -> float:
         """Returns the weight after the time without runs since the last one."""
-        is_in_trouble = self.mean - type_mean > _TROUBLE_LOG_FACTOR
+        is_in_trouble = (
+            self.trouble_runs > 0 or self.mean - type_mean > _TROUBLE_LOG_FACTOR
+        )
         forget_s = _FORGET_TROUBLE_S if is_in_trouble else _FORGET_S
         return self.weight * math.exp(min(0.0, self.updated_s - now_s) / forget_s)
 
     def detect_change(self, deviation: float) -> None:
         """Reduces the weight if two runs in a row deviate to the same side."""
-        is_same_side = deviation * self.last_deviation > 0
-        if (
-            is_same_side
-            and min(abs(deviation), abs(self.last_deviation)) > _CHANGE_DEVIATIONS
-        ):
+        smaller = min(abs(deviation), abs(self.last_deviation))
+        if deviation * self.last_deviation > 0 and smaller > _CHANGE_DEVIATIONS:
             self.weight = min(self.weight, _WEIGHT_AFTER_CHANGE)
+            if smaller > _TROUBLE_DEVIATIONS:
+                self.trouble_runs = _TROUBLE_RUNS if deviation > 0 else 0
+        self.trouble_runs = max(0, self.trouble_runs - 1)
         self.last_deviation = deviation
 
 
@@ -155,6 +166,8 @@
         self._workers: dict[str, _WorkerRuns] = {}
         self._run_variance = _INITIAL_RUN_DEVIATION**2
         self._now_s = -math.inf
+        # Estimates by worker, with their times and the identities that they hold for.
+        self._estimates: dict[str, tuple[float, WorkerIdentity, float | None]] = {}
 
     @property
     def worker_count(self) -> int:
@@ -168,6 +181,17 @@
 
     def of_worker(self, identity: WorkerIdentity) -> float | None:
         """Returns the logarithm of a worker's slowdown; None if nothing is known."""
+        estimate = self._estimates.get(identity.worker)
+        if estimate is not None:
+            time_s, known_identity, log_slowdown = estimate
+            is_recent = self._now_s - time_s < _RECOMPUTE_AFTER_S
+            if is_recent and known_identity == identity:
+                return log_slowdown
+        log_slowdown = self._estimate(identity)
+        self._estimates[identity.worker] = self._now_s, identity, log_slowdown
+        return log_slowdown
+
+    def _estimate(self, identity: WorkerIdentity) -> float | None:
         type_mean = self.of_type(identity.hardware)
         runs = self._workers.get(identity.worker)
         if runs is None:
@@ -190,8 +214,9 @@
         """
         self._now_s = max(self._now_s, now_s)
         type_mean = self._types.setdefault(identity.hardware, LogMean())
-        expected = self.of_worker(identity)
+        expected = self._estimate(identity)
         type_mean.add(log_ratio)
+        self._estimates.pop(identity.worker, None)
         runs = self._update_worker(identity, type_mean.mean)
         run_deviation = math.sqrt(self._run_variance)
         runs.detect_change((log_ratio - runs.mean) / run_deviation)
@@ -220,6 +245,7 @@
         known = self._types.get(hardware)
         if known is None or known.count < _TYPE_SEED_WEIGHT:
             self._types[hardware] = LogMean(log_slowdown, _TYPE_SEED_WEIGHT)
+            self._estimates.clear()
 
     def seed_worker(
         self, identity: WorkerIdentity, log_slowdown: float, now_s: float
@@ -234,6 +260,7 @@
             now_s,
             weight=_WORKER_SEED_WEIGHT,
         )
+        self._estimates.pop(identity.worker, None)
 
     def _update_worker(self, identity: WorkerIdentity, type_mean: float) -> _WorkerRuns:
         """Returns the runs of a worker, weighted as of now."""
@@ -256,6 +283,7 @@
         for worker, runs in list(self._workers.items()):
             if runs.updated_s < oldest_s:
                 del self._workers[worker]
+        self._estimates.clear()
         if len(self._workers) >= MAX_WORKERS:
             del self._workers[min(self._workers, key=self._updated_s)]
 
