--- a/gooseberrylink/platform/entry_program.py
+++ b/gooseberrylink/platform/entry_program.py
@@ -115,5 +115,6 @@
         rerun_after_silence_s=RERUN_AFTER_SILENCE_S,
         max_late_start_s=MAX_LATE_START_S,
         learned_interval_s=_LEARNED_INTERVAL_S,
+        awaits_evacuations=True,
         **link_settings(),
     )
--- a/gooseberrylink/settings.py
+++ b/gooseberrylink/settings.py
@@ -170,6 +170,8 @@
         learned_interval_s: Mean time between two writes of learnt estimates to the
             platform's table store, by all entries together; 0 to keep none. Only
             deployments with such a store keep them.
+        awaits_evacuations: Whether an operator's table says which data centres are
+            evacuated, so that no job is accepted before it, or an agent, was heard.
     """
 
     entry: Name
@@ -190,3 +192,4 @@
     agents_back_s: float = Field(default=0.0, ge=0)
     remote_factor: float = Field(default=1.0, ge=1)
     learned_interval_s: float = Field(default=0.0, ge=0, allow_inf_nan=False)
+    awaits_evacuations: bool = False
