--- a/gooseberrylink/entry.py
+++ b/gooseberrylink/entry.py
@@ -299,6 +299,8 @@
         self.metrics.set_gauge(
             "evacuated_data_centres", len(self.evacuations.data_centres)
         )
+        for peer in self.peers.values():
+            peer.update_evacuated()
         self._wake_all_senders()
         if self.evacuations.data_centres - former:
             self.dispatcher.refuse_jobs_without_room()
--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -81,6 +81,7 @@
             reported that there was none.
         host: Host of the backend server, as last reported.
         units_in_flight: Units of resources that the tasks in flight use.
+        is_evacuated: Whether it is in an evacuated data centre, as far as is known.
     """
 
     def __init__(self, entry: "Entry", worker: str):
@@ -93,6 +94,7 @@
         # Incarnations whose hello was answered and that have sent no frame yet.
         self._unproven_incarnations: list[str] = []
         self.data_centre = ""
+        self.is_evacuated = False
         self.service = ""
         self.slots = 0
         self.is_quarantined = False
@@ -148,11 +150,6 @@
         """Whether a link is open and the agent has a backend server for new tasks."""
         return self._session is not None and self.slots > 0 and not self.is_evacuated
 
-    @property
-    def is_evacuated(self) -> bool:
-        """Whether the agent is in an evacuated data centre, as far as is known."""
-        return self.data_centre in self._entry.evacuations.data_centres
-
     @property
     def free_units(self) -> int:
         """Estimate of the units that this entry may still use.
@@ -245,6 +242,10 @@
             and self.free_gpus >= resources.gpus
         )
 
+    def update_evacuated(self) -> None:
+        """Applies a change of the evacuations, or of the agent's data centre."""
+        self.is_evacuated = self.data_centre in self._entry.evacuations.data_centres
+
     def revoke(self, assignment_ids: list[str], stop_running: bool = False) -> None:
         """Revokes assignments; with stop_running, also stops running tasks."""
         if self._session is not None:
@@ -337,6 +338,7 @@
         self.outbox = session.outbox
         self.incarnation = hello.incarnation
         self.data_centre = hello.data_centre
+        self.update_evacuated()
         self.service = hello.service
         self.slots = hello.slots
         self._record_capacity(
--- a/gooseberrylink/platform/evacuation_rows.py
+++ b/gooseberrylink/platform/evacuation_rows.py
@@ -32,7 +32,8 @@
         """Applies all rows of the table, or those that changed, to the register."""
         if rows.is_full:
             self._is_readable.clear()
-        has_changed = rows.is_full
+        # The version of a store that was empty when it was read does not count.
+        has_changed = rows.is_full or not evacuations.version(OPERATOR)
         changes = [(row.key, row.value) for row in rows.rows]
         changes += [(key, b"") for key in rows.unreadable_keys]
         for key, value in changes:
@@ -45,11 +46,11 @@
 
     def _record(self, key: str, value: bytes | None) -> None:
         data_centre = key.removeprefix(_KEY_PREFIX)
-        if data_centre not in self._data_centres:
+        if value is None:
+            self._is_readable.pop(data_centre, None)
+        elif data_centre not in self._data_centres:
             expected = f"a data centre among {', '.join(self._data_centres)}"
             self._reject(key, data_centre, expected)
-        elif value is None:
-            self._is_readable.pop(data_centre, None)
         elif _is_request(value):
             self._is_readable[data_centre] = True
         else:
--- a/gooseberrylink/platform/store.py
+++ b/gooseberrylink/platform/store.py
@@ -4,6 +4,7 @@
 import binascii
 import dataclasses
 import urllib.parse
+from typing import Annotated
 
 import msgspec
 
@@ -19,6 +20,10 @@
 _STATUSES_WITHOUT_EFFECT = (400, 403, 404, 412, 413, 429, 503, 507)
 
 
+# Larger numbers would not fit into the frames between entries and agents.
+_Version = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+
+
 class _Row(msgspec.Struct):
     key: str
     value: str = ""
@@ -28,7 +33,7 @@
 
 class _RowsResponse(msgspec.Struct, rename="camel"):
     rows: list[_Row]
-    ver: int
+    ver: _Version
     has_more: bool = False
 
 
--- a/gooseberrylink/service_pool.py
+++ b/gooseberrylink/service_pool.py
@@ -180,7 +180,7 @@
         demand_elsewhere_units = sum(
             p.unexpired_demand(now_s) for p in self.peers if p is not peer
         )
-        if not len(self.queue):
+        if not len(self.queue) or peer.is_evacuated:
             return 0, 0
         # Tasks may use memory or accelerators alone. Agents grant credits for units, so
         # such a task requests one.
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -88,6 +88,15 @@
     assert apply_rows(evacuations, 8, mohammedia=None) == {NORTH}
 
 
+def test_empty_store_is_known_once_anything_is_written(apply_rows):
+    evacuations = Evacuations()
+    apply_rows(evacuations, 0, is_full=True)
+    assert evacuations.version(OPERATOR) == 0
+    apply_rows(evacuations, 1)
+    assert evacuations.version(OPERATOR) == 1
+    assert apply_rows(evacuations, 2, mohammedia=b"{}") == {SOUTH}
+
+
 def test_row_that_is_gone_after_lost_history_is_taken_back(apply_rows):
     evacuations = Evacuations()
     apply_rows(evacuations, 5, is_full=True, mohammedia=b"{}")
@@ -116,6 +125,7 @@
     evacuations = Evacuations()
     assert apply_rows(evacuations, 5, is_full=True, nowhere=b"{}") == set()
     assert evacuations.version(OPERATOR) == 5
+    assert apply_rows(evacuations, 6, nowhere=None) == set()
 
 
 class Receiver:
