--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -2,7 +2,10 @@
 
 import pytest
 import trio
+import trio.testing
+from conftest import SERVICE
 
+from gooseberrylink.bench.runner import seeded_scheduler
 from gooseberrylink.codes import Code
 from gooseberrylink.metrics import Metrics
 from gooseberrylink.operators.configuration_store import ConfigurationStore
@@ -16,6 +19,7 @@
     Evacuations,
     find_jobs_without_room,
 )
+from gooseberrylink.standins.processes import ProcessDeployment, TaskFreezer
 from gooseberrylink.store import Rows, StoredRow
 from gooseberrylink.types import Job, LatencyTarget, Task
 
@@ -128,6 +132,27 @@
     assert apply_rows(evacuations, 6, nowhere=None) == set()
 
 
+@pytest.fixture
+def run_on_processes(declarations_text):
+    """Returns a function that runs a test on processes that can be frozen."""
+
+    def run(test):
+        freezer = TaskFreezer()
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                deployment = ProcessDeployment(nursery, SERVICE, freezer)
+                await deployment.configure(declarations_text)
+                await test(deployment)
+                nursery.cancel_scope.cancel()
+
+        with seeded_scheduler(0):
+            clock = trio.testing.MockClock(autojump_threshold=0)
+            trio.run(main, clock=clock, instruments=[freezer])
+
+    return run
+
+
 class Receiver:
     """Receives evacuations, and has no configuration."""
 
@@ -303,6 +328,30 @@
     run_on_deployment(test)
 
 
+@pytest.mark.parametrize("is_taken_back", [False, True])
+def test_entry_frozen_over_a_change(run_on_processes, make_job, is_taken_back):
+    async def test(deployment):
+        entries = await start(deployment)
+        await submit_for(deployment, make_job, 1)
+        deployment.processes[entries[1]].freeze()
+        entries[0].evacuations.adopt(state(5, NORTH), "store")
+        requested_s = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            # These are assigned as if nothing had changed.
+            nursery.start_soon(submit_for, deployment, make_job, 0.2, entries[1:])
+            await trio.sleep(0.5)
+            if is_taken_back:
+                entries[0].evacuations.adopt(state(6), "store")
+            await trio.sleep(0.5)
+            deployment.processes[entries[1]].resume()
+        assert await submit_for(deployment, make_job, 1, entries[1:]) == {Code.OK}
+        assert entries[1].evacuations.version(OPERATOR) == 5 + is_taken_back
+        started = count_starts(deployment, NORTH_WORKERS, requested_s + SPREAD_S)
+        assert (started > 0) == is_taken_back
+
+    run_on_processes(test)
+
+
 def test_request_and_withdrawal_within_a_second(run_on_deployment, make_job):
     async def test(deployment):
         entries = await start(deployment)
