Evacuation: processes that read one version differently agree

One that could not read a row, or did not know a data centre, kept another state of the same version than its peers until the next change. Now all that any of them evacuates counts. Refusal 114 says which state an entry misses.

--- a/gooseberrylink/entry.py
+++ b/gooseberrylink/entry.py
@@ -122,6 +122,20 @@
             return True
         return self.evacuations.version(OPERATOR) > 0
 
+    def _describe_missing_state(self) -> str:
+        if (
+            self.configuration.declarations is not None
+            and not self._knows_evacuations()
+        ):
+            return (
+                f"entry {self.settings.entry} has not heard yet which data centres are"
+                " evacuated"
+            )
+        return (
+            f"entry {self.settings.entry} has no configuration that is known to be"
+            f" current (its version is {self.configuration.version})"
+        )
+
     async def submit(self, request: JobRequest) -> Answer:
         """Runs a job; returns all its results, or a code for why there are none."""
         started_s = trio.current_time()
@@ -159,12 +173,7 @@
 
     async def _admit_and_run(self, request: JobRequest) -> Answer:
         if not self.has_current_configuration:
-            raise RefusedError(
-                Code.NOT_READY,
-                f"entry {self.settings.entry} has no configuration that is known to be"
-                f" current (its version is {self.configuration.version})",
-                1.0,
-            )
+            raise RefusedError(Code.NOT_READY, self._describe_missing_state(), 1.0)
         job_key = (request.customer, request.job_id)
         if request.job_id and job_key in self._jobs_by_caller_job_id:
             raise RefusedError(
--- a/gooseberrylink/scheduling/evacuation.py
+++ b/gooseberrylink/scheduling/evacuation.py
@@ -35,8 +35,8 @@
     """The data centres that are evacuated, as far as this process knows.
 
     Each source has versions of its own. A state is replaced as a whole by one with a
-    higher version and never by another, so that a process that was cut off or frozen
-    can't bring back what has changed since.
+    higher version and never by one with a lower version, so that a process that was cut
+    off or frozen can't bring back what has changed since.
 
     Attributes:
         data_centres: The evacuated data centres of all sources together.
@@ -70,12 +70,13 @@
         """Adopts a state if it is newer than what is known of its source.
 
         Args:
-            state: State of one source.
+            state: State of one source; one without a version is ignored.
             learnt_from: Who told it, for the log: "store", "configuration", "entry" or
                 "agent".
         """
         known = self._states.get(state.source)
-        if state.version <= (known.version if known else 0):
+        state = _join(known, state)
+        if state is known or not state.version:
             return
         self._states[state.source] = state
         if known is None or known.data_centres != state.data_centres:
@@ -106,7 +107,7 @@
 
     def __init__(self, evacuations: Evacuations):
         self._evacuations = evacuations
-        self._peer_versions: dict[str, int] = {}
+        self._peer_states: dict[str, EvacuationState] = {}
 
     def is_peer_behind(self) -> bool:
         """Returns whether there is a state that the peer does not know."""
@@ -116,25 +117,45 @@
         """Returns the states that the peer does not know, for the next frame."""
         updates = self._unknown_to_peer()
         for state in updates:
-            self._peer_versions[state.source] = state.version
+            self._record(state)
         return updates
 
     def receive(self, states: list[EvacuationState], learnt_from: str) -> None:
         """Adopts the states in a frame of the peer."""
         for state in states:
-            self._peer_versions[state.source] = max(
-                state.version, self._peer_versions.get(state.source, 0)
-            )
+            self._record(state)
             self._evacuations.adopt(state, learnt_from)
 
+    def _record(self, state: EvacuationState) -> None:
+        self._peer_states[state.source] = _join(
+            self._peer_states.get(state.source), state
+        )
+
     def _unknown_to_peer(self) -> list[EvacuationState]:
+        peer_states = self._peer_states
         return [
             state
             for state in self._evacuations.states()
-            if state.version > self._peer_versions.get(state.source, 0)
+            if _join(peer_states.get(state.source), state)
+            is not peer_states.get(state.source)
         ]
 
 
+def _join(known: EvacuationState | None, state: EvacuationState) -> EvacuationState:
+    """Returns what is known of a source after a state was heard.
+
+    The higher version counts. Processes that read the same version differ only if one
+    could not read a row or does not know a data centre; then all that is evacuated for
+    any of them counts.
+    """
+    if known is None or state.version > known.version:
+        return state
+    if state.version < known.version or state.data_centres <= known.data_centres:
+        return known
+    data_centres = state.data_centres | known.data_centres
+    return EvacuationState(state.source, state.version, data_centres)
+
+
 def find_jobs_without_room(
     queued: Iterable[Task], parallelism: float, slowdown: float, now_s: float
 ) -> list[tuple[Job, float]]:
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -65,6 +65,18 @@
     assert evacuations.data_centres == set()
 
 
+def test_all_that_is_evacuated_counts_if_peers_read_one_version_differently():
+    # One of them does not know a data centre yet, or could not read a row.
+    ours, theirs = Evacuations(), Evacuations()
+    ours.adopt(state(7, NORTH), "store")
+    theirs.adopt(state(7, SOUTH), "store")
+    to_them, to_us = EvacuationLink(ours), EvacuationLink(theirs)
+    to_us.receive(to_them.take_updates(), "entry")
+    to_them.receive(to_us.take_updates(), "agent")
+    assert ours.data_centres == theirs.data_centres == {NORTH, SOUTH}
+    assert not (to_us.is_peer_behind() or to_them.is_peer_behind())
+
+
 # The rows of the operator.
 
 
