--- a/gooseberrylink/standins/deployment.py
+++ b/gooseberrylink/standins/deployment.py
@@ -14,7 +14,8 @@
 from gooseberrylink.operators.declarations import to_canonical
 from gooseberrylink.peers.grpc_link import GrpcDialer, GrpcListener, GrpcThread
 from gooseberrylink.peers.link import Dialer
-from gooseberrylink.peers.messages import Host
+from gooseberrylink.peers.messages import EvacuationState, Host
+from gooseberrylink.scheduling.evacuation import OPERATOR
 from gooseberrylink.settings import AgentSettings, EntrySettings
 from gooseberrylink.standins.backend import FakeBackend
 from gooseberrylink.standins.leased_backend import FakeLeasedBackend
@@ -83,6 +84,8 @@
         incarnations: Receivers of the heartbeats of leased backend servers, by worker.
         backends: Every FakeBackend that was ever attached. Tests check the answers
             that callers get against their logs of starts.
+        is_operator_table_readable: Whether entries that start learn that no data
+            centre is evacuated, as they would from the operator's table.
     """
 
     def __init__(
@@ -99,6 +102,7 @@
         self.agents: dict[str, Agent] = {}
         self.incarnations: dict[str, IncarnationTracker] = {}
         self.backends: list[FakeBackend] = []
+        self.is_operator_table_readable = True
         self._nursery = nursery
         self._cancel_scopes: dict[Entry | Agent, trio.CancelScope] = {}
 
@@ -119,6 +123,8 @@
         entry = Entry(
             EntrySettings(**(values | settings)), self.platform, seed=len(self.entries)
         )
+        if self.is_operator_table_readable:
+            entry.evacuations.adopt(EvacuationState(OPERATOR, 1, frozenset()), "store")
         await self._start_component(entry)
         entry.address_for_agents = await self.network.listen(name, entry)
         self.entries.append(entry)
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -476,6 +476,7 @@
         assert count_starts(deployment, NORTH_WORKERS, requested_s) == 0
 
     async def start_unaware(deployment):
+        deployment.is_operator_table_readable = False
         entries = [
             await deployment.add_entry(f"entry-{n}", awaits_evacuations=True)
             for n in range(2)
