gooseberrylink explain: where a job would go now, and why

POST /v1/explain runs admission, creation and placement of tasks on copies of the pool, its agents and the quotas. Test: an explanation agrees with what the entry then does with the job, and changes nothing.

--- a/gooseberrylink/admission.py
+++ b/gooseberrylink/admission.py
@@ -1,5 +1,6 @@
 """Decides whether a job is admitted, and creates its tasks."""
 
+import copy
 import math
 
 from gooseberrylink.codes import Code
@@ -57,6 +58,12 @@
         self._is_deadline_aware = is_deadline_aware
         self.startup_grace_ends_s = 0.0
 
+    def copy_for_trial(self) -> "Admission":
+        """Returns a copy whose checks use up nothing of the quotas."""
+        admission = copy.copy(self)
+        admission._quotas = copy.deepcopy(self._quotas)
+        return admission
+
     def check(
         self,
         request: JobRequest,
--- a/gooseberrylink/callers/api.py
+++ b/gooseberrylink/callers/api.py
@@ -22,6 +22,7 @@
 from gooseberrylink.entry import Entry
 from gooseberrylink.exceptions import RefusedError
 from gooseberrylink.logs import log_event
+from gooseberrylink.operators.explanation import explain_job
 from gooseberrylink.operators.status import entry_status
 from gooseberrylink.types import Answer
 
@@ -40,6 +41,7 @@
                 Route("/v1/jobs", self._submit, methods=["POST"]),
                 Route("/v1/jobs/{job_id}", self._cancel, methods=["DELETE"]),
                 Route("/v1/status", self._status),
+                Route("/v1/explain", self._explain, methods=["POST"]),
                 Route(
                     "/v1/configuration", self._receive_configuration, methods=["POST"]
                 ),
@@ -95,6 +97,17 @@
         )
         return JSONResponse({"cancelled": False, "detail": detail}, 404)
 
+    async def _explain(self, request: Request) -> Response:
+        try:
+            body = await self._read_body(request, self._max_job_bytes())
+            key = request.headers.get("Idempotency-Key", "")
+            job = parse_job(body, key, self._entry.configuration)
+        except RefusedError as error:
+            return _to_response(Answer(error.code, error.detail))
+        except ClientDisconnectedError:
+            return Response(status_code=400)
+        return JSONResponse(explain_job(self._entry, job))
+
     async def _status(self, request: Request) -> Response:
         return JSONResponse(entry_status(self._entry))
 
--- a/gooseberrylink/cmdline.py
+++ b/gooseberrylink/cmdline.py
@@ -16,6 +16,7 @@
     "check": "gooseberrylink.commands.configuration:CheckCommand",
     "apply": "gooseberrylink.commands.configuration:ApplyCommand",
     "evacuate": "gooseberrylink.commands.evacuate:EvacuateCommand",
+    "explain": "gooseberrylink.commands.explain:ExplainCommand",
     "status": "gooseberrylink.commands.inspect:StatusCommand",
     "counters": "gooseberrylink.commands.inspect:CountersCommand",
     "demo": "gooseberrylink.commands.bench:DemoCommand",
--- a/gooseberrylink/commands/exit_codes.py
+++ b/gooseberrylink/commands/exit_codes.py
@@ -9,8 +9,9 @@
     """Exit codes of all commands.
 
     NOT_RUN, RAN and MAY_HAVE_RUN are exit codes of `submit` for a job that did not
-    succeed; CONFLICT, NOT_APPLIED and APPLY_UNKNOWN are exit codes of `apply` and
-    `evacuate`; GUARANTEE_VIOLATED is an exit code of `bench`, `demo` and `soak`.
+    succeed, and NOT_RUN of `explain` for one that would be refused; CONFLICT,
+    NOT_APPLIED and APPLY_UNKNOWN are exit codes of `apply` and `evacuate`;
+    GUARANTEE_VIOLATED is an exit code of `bench`, `demo` and `soak`.
     """
 
     OK = 0
--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -30,6 +30,7 @@
 from gooseberrylink.routing import make_policy, remote_factor
 from gooseberrylink.run_times import RunTimeModel, WorkerIdentity
 from gooseberrylink.scheduling.evacuation import refusal_for_lack_of_room
+from gooseberrylink.scheduling.trial import Trial, try_out
 from gooseberrylink.service_pool import ServicePool
 from gooseberrylink.settings import EntrySettings
 from gooseberrylink.success_rates import CustomerSuccessRates
@@ -158,13 +159,7 @@
         now_s = trio.current_time()
         # The check refuses unknown services, which must not leave a pool behind.
         pool = self._pools.get(request.service) or ServicePool(request.service)
-        pool.min_slowdown = self._policy.min_slowdown(pool.peers)
-        time_left_s = self.shutdown_deadline_s - now_s
-        self._check_age(request)
-        self._check_unconfirmed_starts(request, now_s)
-        self._admission.check(
-            request, pool, entry_count, now_s, self.is_draining, time_left_s
-        )
+        self._check(request, pool, self._admission, entry_count, now_s)
         pool = self.pool(request.service)
         number = next(self._sequence)
         job = Job(
@@ -180,6 +175,31 @@
             pool.record_task_units(spec.resources.units)
         return job
 
+    def try_out(self, request: JobRequest, entry_count: int) -> Trial:
+        """Returns what would happen to a job now, and changes nothing; see admit()."""
+        now_s = trio.current_time()
+        pool = self._pools.get(request.service) or ServicePool(request.service)
+        pool = pool.copy_for_trial()
+        admission = self._admission.copy_for_trial()
+        self._check(request, pool, admission, entry_count, now_s)
+        return try_out(request, pool, admission, self._policy, now_s)
+
+    def _check(
+        self,
+        request: JobRequest,
+        pool: ServicePool,
+        admission: Admission,
+        entry_count: int,
+        now_s: float,
+    ) -> None:
+        pool.min_slowdown = self._policy.min_slowdown(pool.peers)
+        time_left_s = self.shutdown_deadline_s - now_s
+        self._check_age(request)
+        self._check_unconfirmed_starts(request, now_s)
+        admission.check(
+            request, pool, entry_count, now_s, self.is_draining, time_left_s
+        )
+
     def _check_age(self, request: JobRequest) -> None:
         """Refuses a job that may have waited in a socket during a suspension.
 
@@ -280,9 +300,7 @@
         for peer in self._all_peers():
             tasks = by_worker.get(peer.worker)
             if tasks:
-                stop_running = job.request.rerun_policy is not None
-                _log_revocation(peer, job, tasks, stop_running)
-                peer.revoke([task.assignment_id for task in tasks], stop_running)
+                peer.withdraw(job, tasks)
 
     def is_to_be_stopped(self, task: Task) -> bool:
         """Returns whether a task is to be stopped if it is running."""
@@ -509,12 +527,10 @@
         for job in jobs:
             is_unassigned = job.is_unassigned()
             self._withdraw_tasks(job)
+            answer = Answer(Code.AGENT_LOST, detail)
             if is_unassigned:
-                self._fail(
-                    job, Answer(Code.NO_BACKEND_SERVER, detail, retry_after_s=0.0)
-                )
-            else:
-                self._fail(job, Answer(Code.AGENT_LOST, detail))
+                answer = Answer(Code.NO_BACKEND_SERVER, detail, retry_after_s=0.0)
+            self._fail(job, answer)
 
     def handle_agent_disconnected(self, peer: AgentPeer) -> None:
         """Records when the leases of a disconnected agent's tasks will expire.
@@ -985,18 +1001,3 @@
             if not peer.is_connected:
                 ended.append((peer, end_s))
     return ended
-
-
-def _log_revocation(
-    peer: AgentPeer, job: Job, tasks: list[Task], stop_running: bool
-) -> None:
-    log_event(
-        "tasks_revoked",
-        "DEBUG" if job.request.latency_target is None else "INFO",
-        job=job.request.job_id or job.job_id,
-        worker=peer.worker,
-        count=len(tasks),
-        tasks=",".join(str(task.index) for task in tasks[:_MAX_LOGGED_TASKS]),
-        stop_running=stop_running,
-        connected=peer.is_connected,
-    )
--- a/gooseberrylink/entry.py
+++ b/gooseberrylink/entry.py
@@ -24,6 +24,7 @@
 from gooseberrylink.platform.table_service import TableServiceClient
 from gooseberrylink.rendezvous import choose_by_rendezvous_hash
 from gooseberrylink.scheduling.evacuation import OPERATOR, Evacuations
+from gooseberrylink.scheduling.trial import Trial
 from gooseberrylink.settings import EntrySettings
 from gooseberrylink.types import Answer, Job, JobRequest
 
@@ -122,7 +123,8 @@
             return True
         return self.evacuations.version(OPERATOR) > 0
 
-    def _describe_missing_state(self) -> str:
+    def describe_missing_state(self) -> str:
+        """Returns what the entry has to learn before it accepts jobs."""
         if (
             self.configuration.declarations is not None
             and not self._knows_evacuations()
@@ -171,16 +173,29 @@
             for job in self.dispatcher.jobs.values()
         )
 
-    async def _admit_and_run(self, request: JobRequest) -> Answer:
+    def try_out(self, request: JobRequest) -> Trial:
+        """Returns what would happen to a job that is submitted now.
+
+        Raises:
+            RefusedError: It would be refused.
+        """
+        self._check(request)
+        return self.dispatcher.try_out(request, 1 + len(self.other_entries()))
+
+    def _check(self, request: JobRequest) -> None:
+        """Refuses a job if the entry is not ready or has one of the same name."""
         if not self.has_current_configuration:
-            raise RefusedError(Code.NOT_READY, self._describe_missing_state(), 1.0)
-        job_key = (request.customer, request.job_id)
-        if request.job_id and job_key in self._jobs_by_caller_job_id:
+            raise RefusedError(Code.NOT_READY, self.describe_missing_state(), 1.0)
+        if request.job_id and self.is_in_progress(request.customer, request.job_id):
             raise RefusedError(
                 Code.DUPLICATE_JOB_ID,
                 f"job {request.job_id!r} of customer {request.customer} is already in"
                 f" progress at entry {self.settings.entry}",
             )
+
+    async def _admit_and_run(self, request: JobRequest) -> Answer:
+        self._check(request)
+        job_key = (request.customer, request.job_id)
         job = self.dispatcher.admit(request, 1 + len(self.other_entries()))
         log_event(
             "job_admitted",
--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -1,6 +1,7 @@
 """Tracks one agent at an entry and serves its links."""
 
 import collections
+import copy
 import dataclasses
 from typing import TYPE_CHECKING, Any
 
@@ -32,7 +33,7 @@
 from gooseberrylink.peers.session import Session
 from gooseberrylink.resources import NO_RESOURCES, Resources
 from gooseberrylink.scheduling.evacuation import EvacuationLink
-from gooseberrylink.types import Task
+from gooseberrylink.types import Job, Task
 from gooseberrylink.unconfirmed_starts import MAX_STARTS_A_FRAME
 
 if TYPE_CHECKING:
@@ -41,8 +42,9 @@
 _FIRST_FRAME_TIMEOUT_S = 5.0
 _MAX_PENDING_ACKS = 64
 _MAX_EARLIER_INCARNATIONS = 16
-# Jobs that one log line names.
+# Jobs that one log line names, and numbers of tasks.
 _MAX_LOGGED_JOBS = 8
+_MAX_LOGGED_TASKS = 16
 # Time for which a worker is on trial after the assignment of a task that may crash it:
 # tasks that do so crash it within some milliseconds.
 _TRIAL_S = 0.25
@@ -251,6 +253,33 @@
         if self._session is not None:
             self.outbox.put(Revoke(assignment_ids, stop_running))
 
+    def withdraw(self, job: Job, tasks: list[Task]) -> None:
+        """Revokes the tasks of a withdrawn job; stops them if they may run again."""
+        stop_running = job.request.rerun_policy is not None
+        log_event(
+            "tasks_revoked",
+            "DEBUG" if job.request.latency_target is None else "INFO",
+            job=job.request.job_id or job.job_id,
+            worker=self.worker,
+            count=len(tasks),
+            tasks=",".join(str(task.index) for task in tasks[:_MAX_LOGGED_TASKS]),
+            stop_running=stop_running,
+            connected=self.is_connected,
+        )
+        self.revoke([task.assignment_id for task in tasks], stop_running)
+
+    def copy_for_trial(self) -> "AgentPeer":
+        """Returns a copy that reserve() may change; nothing may be sent to it."""
+        peer = copy.copy(self)
+        peer.tasks_in_flight = dict(self.tasks_in_flight)
+        return peer
+
+    def reserve(self, task: Task) -> None:
+        """Counts a task as assigned without sending it; only for copies."""
+        self.tasks_in_flight[task.task_id] = task
+        self.units_in_flight += task.spec.resources.units
+        self._units_sent += task.spec.resources.units
+
     def acknowledge(self, assignment_id: str) -> None:
         """Acknowledges a result with the next frame; the agent then discards it."""
         self._pending_acks.append(assignment_id)
@@ -435,7 +464,7 @@
     def _handle_frame(self, frame: AgentFrame) -> None:
         self._entry.dispatcher.handle_sign_of_agent()
         self._evacuation_link.receive(frame.evacuations, "agent")
-        if self._evacuation_link.is_peer_behind():
+        if self._evacuation_link.is_peer_wrong():
             self.outbox.wake_sender()
         self._record_agent_clock(frame.clock_s)
         self._free_units = frame.free_units
--- a/gooseberrylink/platform/job_api.py
+++ b/gooseberrylink/platform/job_api.py
@@ -143,12 +143,8 @@
 
     def _find_queue(self, host: str, path: str) -> tuple[Queue, str]:
         if not self._entry.has_current_configuration:
-            raise RefusedError(
-                Code.NOT_READY,
-                f"entry {self._entry.settings.entry} has no configuration that is known"
-                f" to be current (its version is {self._entry.configuration.version})",
-                1.0,
-            )
+            detail = self._entry.describe_missing_state()
+            raise RefusedError(Code.NOT_READY, detail, 1.0)
         queue = self._entry.configuration.queue(host, path)
         if queue is None:
             raise RefusedError(
--- a/gooseberrylink/scheduling/evacuation.py
+++ b/gooseberrylink/scheduling/evacuation.py
@@ -109,9 +109,15 @@
         self._evacuations = evacuations
         self._peer_states: dict[str, EvacuationState] = {}
 
-    def is_peer_behind(self) -> bool:
-        """Returns whether there is a state that the peer does not know."""
-        return bool(self._unknown_to_peer())
+    def is_peer_wrong(self) -> bool:
+        """Returns whether the peer takes other data centres for evacuated.
+
+        What it does not know beyond that can wait for the next frame.
+        """
+        return any(
+            state.data_centres != self._peer_data_centres(state.source)
+            for state in self._unknown_to_peer()
+        )
 
     def take_updates(self) -> list[EvacuationState]:
         """Returns the states that the peer does not know, for the next frame."""
@@ -126,6 +132,10 @@
             self._record(state)
             self._evacuations.adopt(state, learnt_from)
 
+    def _peer_data_centres(self, source: str) -> frozenset[str]:
+        state = self._peer_states.get(source)
+        return state.data_centres if state else frozenset()
+
     def _record(self, state: EvacuationState) -> None:
         self._peer_states[state.source] = _join(
             self._peer_states.get(state.source), state
--- a/gooseberrylink/service_pool.py
+++ b/gooseberrylink/service_pool.py
@@ -1,5 +1,6 @@
 """Keeps an entry's queue for one service and the agents that serve it."""
 
+import copy
 import math
 
 from gooseberrylink.operators.declarations import Customer
@@ -44,6 +45,14 @@
         self._virtual_finish_s: dict[str, float] = {}
         self._weights: dict[str, float] = {}
 
+    def copy_for_trial(self) -> "ServicePool":
+        """Returns a copy on which decisions may be tried out; it shares the queue."""
+        pool = copy.copy(self)
+        pool.peers = [peer.copy_for_trial() for peer in self.peers]
+        pool._virtual_finish_s = dict(self._virtual_finish_s)
+        pool._weights = dict(self._weights)
+        return pool
+
     def total_units(self) -> int:
         """Returns the units (see Resources) of all agents that can serve."""
         return sum(peer.slots for peer in self.peers if peer.can_serve)
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -57,11 +57,11 @@
 def test_link_tells_each_state_once_and_none_that_the_peer_told():
     evacuations = Evacuations()
     link = EvacuationLink(evacuations)
-    assert not link.is_peer_behind()
+    assert not link.is_peer_wrong()
     evacuations.adopt(state(7, NORTH), "store")
     assert [s.version for s in link.take_updates()] == [7]
     link.receive([state(8)], "agent")
-    assert not link.is_peer_behind()
+    assert not link.is_peer_wrong()
     assert evacuations.data_centres == set()
 
 
@@ -74,7 +74,7 @@
     to_us.receive(to_them.take_updates(), "entry")
     to_them.receive(to_us.take_updates(), "agent")
     assert ours.data_centres == theirs.data_centres == {NORTH, SOUTH}
-    assert not (to_us.is_peer_behind() or to_them.is_peer_behind())
+    assert not (to_us.is_peer_wrong() or to_them.is_peer_wrong())
 
 
 # The rows of the operator.
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -196,11 +196,10 @@
 def check_commands(processes):
     (status,) = run_command(processes, "status")
     assert [agent["worker"] for agent in status["agents"]] == ["tank-1", "tank-2"]
-    answers = [
-        s
-        for s in run_command(processes, "counters")
-        if s["name"].endswith("_answers_total")
-    ]
+    explanation = run_command(processes, "explain", str(EXAMPLES / "job.yaml"))
+    assert {task["worker"] for task in explanation["tasks"]} <= {"tank-1", "tank-2"}
+    counters = run_command(processes, "counters")
+    answers = [s for s in counters if s["name"].endswith("_answers_total")]
     assert [(s["labels"]["reason"], s["value"]) for s in answers] == [("ok", 1.0)]
 
 
@@ -224,9 +223,9 @@
     assert "evacuated/0" not in processes.list_start_labels()
 
 
-def run_command(processes, name: str) -> list:
+def run_command(processes, *arguments: str) -> list | dict:
     entry = ["--entry", processes.entry_addresses["entry-1"], "--json"]
-    command = [sys.executable, "-m", "gooseberrylink", name, *entry]
+    command = [sys.executable, "-m", "gooseberrylink", *arguments, *entry]
     return json.loads(subprocess.run(command, capture_output=True).stdout)
 
 
