--- a/gooseberrylink/entry.py
+++ b/gooseberrylink/entry.py
@@ -24,6 +24,7 @@
 from gooseberrylink.platform.table_service import TableServiceClient
 from gooseberrylink.rendezvous import choose_by_rendezvous_hash
 from gooseberrylink.scheduling.evacuation import OPERATOR, Evacuations
+from gooseberrylink.scheduling.trial import Trial
 from gooseberrylink.settings import EntrySettings
 from gooseberrylink.types import Answer, Job, JobRequest
 
@@ -123,6 +124,21 @@
             return True
         return self.evacuations.version(OPERATOR) > 0
 
+    def describe_missing_state(self) -> str:
+        """Returns what the entry has to learn before it accepts jobs."""
+        if (
+            self.configuration.declarations is not None
+            and not self._knows_evacuations()
+        ):
+            return (
+                f"entry {self.settings.entry} has not heard yet which data centres are"
+                " evacuated"
+            )
+        return (
+            f"entry {self.settings.entry} has no configuration that is known to be"
+            f" current (its version is {self.configuration.version})"
+        )
+
     async def submit(self, request: JobRequest) -> Answer:
         """Runs a job; returns all its results, or a code for why there are none."""
         started_s = trio.current_time()
@@ -158,21 +174,29 @@
             for job in self.dispatcher.jobs.values()
         )
 
-    async def _admit_and_run(self, request: JobRequest) -> Answer:
+    def try_out(self, request: JobRequest) -> Trial:
+        """Returns what would happen to a job that is submitted now.
+
+        Raises:
+            RefusedError: It would be refused.
+        """
+        self._check(request)
+        return self.dispatcher.try_out(request, 1 + len(self.other_entries()))
+
+    def _check(self, request: JobRequest) -> None:
+        """Refuses a job if the entry is not ready or has one of the same name."""
         if not self.has_current_configuration:
-            raise RefusedError(
-                Code.NOT_READY,
-                f"entry {self.settings.entry} has no configuration that is known to be"
-                f" current (its version is {self.configuration.version})",
-                1.0,
-            )
-        job_key = (request.customer, request.job_id)
-        if request.job_id and job_key in self._jobs_by_caller_job_id:
+            raise RefusedError(Code.NOT_READY, self.describe_missing_state(), 1.0)
+        if request.job_id and self.is_in_progress(request.customer, request.job_id):
             raise RefusedError(
                 Code.DUPLICATE_JOB_ID,
                 f"job {request.job_id!r} of customer {request.customer} is already in"
                 f" progress at entry {self.settings.entry}",
             )
+
+    async def _admit_and_run(self, request: JobRequest) -> Answer:
+        self._check(request)
+        job_key = (request.customer, request.job_id)
         job = self.dispatcher.admit(request, 1 + len(self.other_entries()))
         log_event(
             "job_admitted",
@@ -308,6 +332,8 @@
         self.metrics.set_gauge(
             "evacuated_data_centres", len(self.evacuations.data_centres)
         )
+        for peer in self.peers.values():
+            peer.update_evacuated()
         self._wake_all_senders()
         if self.evacuations.data_centres - former:
             self.dispatcher.refuse_jobs_without_room()
--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -1,6 +1,7 @@
 """Tracks one agent at an entry and serves its links."""
 
 import collections
+import copy
 import dataclasses
 from typing import TYPE_CHECKING, Any
 
@@ -33,7 +34,7 @@
 from gooseberrylink.resources import NO_RESOURCES, Resources
 from gooseberrylink.scheduling.evacuation import EvacuationLink
 from gooseberrylink.scheduling.worker_slowdowns import WorkerIdentity
-from gooseberrylink.types import Task
+from gooseberrylink.types import Job, Task
 from gooseberrylink.unconfirmed_starts import MAX_STARTS_A_FRAME
 
 if TYPE_CHECKING:
@@ -42,8 +43,9 @@
 _FIRST_FRAME_TIMEOUT_S = 5.0
 _MAX_PENDING_ACKS = 64
 _MAX_EARLIER_INCARNATIONS = 16
-# Jobs that one log line names.
+# Jobs that one log line names, and numbers of tasks.
 _MAX_LOGGED_JOBS = 8
+_MAX_LOGGED_TASKS = 16
 # Time for which a worker is on trial after the assignment of a task that may crash it:
 # tasks that do so crash it within some milliseconds.
 _TRIAL_S = 0.25
@@ -83,6 +85,7 @@
         host: Host of the backend server, as last reported.
         worker_identity: The worker on that host, for estimates of its speed.
         units_in_flight: Units of resources that the tasks in flight use.
+        is_evacuated: Whether it is in an evacuated data centre, as far as is known.
     """
 
     def __init__(self, entry: "Entry", worker: str):
@@ -95,6 +98,7 @@
         # Incarnations whose hello was answered and that have sent no frame yet.
         self._unproven_incarnations: list[str] = []
         self.data_centre = ""
+        self.is_evacuated = False
         self.service = ""
         self.slots = 0
         self.is_quarantined = False
@@ -151,11 +155,6 @@
         """Whether a link is open and the agent has a backend server for new tasks."""
         return self._session is not None and self.slots > 0 and not self.is_evacuated
 
-    @property
-    def is_evacuated(self) -> bool:
-        """Whether the agent is in an evacuated data centre, as far as is known."""
-        return self.data_centre in self._entry.evacuations.data_centres
-
     @property
     def free_units(self) -> int:
         """Estimate of the units that this entry may still use.
@@ -248,11 +247,42 @@
             and self.free_gpus >= resources.gpus
         )
 
+    def update_evacuated(self) -> None:
+        """Applies a change of the evacuations, or of the agent's data centre."""
+        self.is_evacuated = self.data_centre in self._entry.evacuations.data_centres
+
     def revoke(self, assignment_ids: list[str], stop_running: bool = False) -> None:
         """Revokes assignments; with stop_running, also stops running tasks."""
         if self._session is not None:
             self.outbox.put(Revoke(assignment_ids, stop_running))
 
+    def withdraw(self, job: Job, tasks: list[Task]) -> None:
+        """Revokes the tasks of a withdrawn job; stops them if they may run again."""
+        stop_running = job.request.rerun_policy is not None
+        log_event(
+            "tasks_revoked",
+            "DEBUG" if job.request.latency_target is None else "INFO",
+            job=job.request.job_id or job.job_id,
+            worker=self.worker,
+            count=len(tasks),
+            tasks=",".join(str(task.index) for task in tasks[:_MAX_LOGGED_TASKS]),
+            stop_running=stop_running,
+            connected=self.is_connected,
+        )
+        self.revoke([task.assignment_id for task in tasks], stop_running)
+
+    def copy_for_trial(self) -> "AgentPeer":
+        """Returns a copy that reserve() may change; nothing may be sent to it."""
+        peer = copy.copy(self)
+        peer.tasks_in_flight = dict(self.tasks_in_flight)
+        return peer
+
+    def reserve(self, task: Task) -> None:
+        """Counts a task as assigned without sending it; only for copies."""
+        self.tasks_in_flight[task.task_id] = task
+        self.units_in_flight += task.spec.resources.units
+        self._units_sent += task.spec.resources.units
+
     def acknowledge(self, assignment_id: str) -> None:
         """Acknowledges a result with the next frame; the agent then discards it."""
         self._pending_acks.append(assignment_id)
@@ -340,6 +370,7 @@
         self.outbox = session.outbox
         self.incarnation = hello.incarnation
         self.data_centre = hello.data_centre
+        self.update_evacuated()
         self.service = hello.service
         self.slots = hello.slots
         self._record_capacity(
@@ -436,7 +467,7 @@
     def _handle_frame(self, frame: AgentFrame) -> None:
         self._entry.dispatcher.handle_sign_of_agent()
         self._evacuation_link.receive(frame.evacuations, "agent")
-        if self._evacuation_link.is_peer_behind():
+        if self._evacuation_link.is_peer_wrong():
             self.outbox.wake_sender()
         self._record_agent_clock(frame.clock_s)
         self._free_units = frame.free_units
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -2,7 +2,10 @@
 
 import pytest
 import trio
+import trio.testing
+from conftest import SERVICE
 
+from gooseberrylink.bench.runner import seeded_scheduler
 from gooseberrylink.codes import Code
 from gooseberrylink.metrics import Metrics
 from gooseberrylink.operators.configuration_store import ConfigurationStore
@@ -16,6 +19,7 @@
     Evacuations,
     find_jobs_without_room,
 )
+from gooseberrylink.standins.processes import ProcessDeployment, TaskFreezer
 from gooseberrylink.store import Rows, StoredRow
 from gooseberrylink.types import Job, LatencyTarget, Task
 
@@ -53,14 +57,26 @@
 def test_link_tells_each_state_once_and_none_that_the_peer_told():
     evacuations = Evacuations()
     link = EvacuationLink(evacuations)
-    assert not link.is_peer_behind()
+    assert not link.is_peer_wrong()
     evacuations.adopt(state(7, NORTH), "store")
     assert [s.version for s in link.take_updates()] == [7]
     link.receive([state(8)], "agent")
-    assert not link.is_peer_behind()
+    assert not link.is_peer_wrong()
     assert evacuations.data_centres == set()
 
 
+def test_all_that_is_evacuated_counts_if_peers_read_one_version_differently():
+    # One of them does not know a data centre yet, or could not read a row.
+    ours, theirs = Evacuations(), Evacuations()
+    ours.adopt(state(7, NORTH), "store")
+    theirs.adopt(state(7, SOUTH), "store")
+    to_them, to_us = EvacuationLink(ours), EvacuationLink(theirs)
+    to_us.receive(to_them.take_updates(), "entry")
+    to_them.receive(to_us.take_updates(), "agent")
+    assert ours.data_centres == theirs.data_centres == {NORTH, SOUTH}
+    assert not (to_us.is_peer_wrong() or to_them.is_peer_wrong())
+
+
 # The rows of the operator.
 
 
@@ -88,6 +104,15 @@
     assert apply_rows(evacuations, 8, mohammedia=None) == {NORTH}
 
 
+def test_empty_store_is_known_once_anything_is_written(apply_rows):
+    evacuations = Evacuations()
+    apply_rows(evacuations, 0, is_full=True)
+    assert evacuations.version(OPERATOR) == 0
+    apply_rows(evacuations, 1)
+    assert evacuations.version(OPERATOR) == 1
+    assert apply_rows(evacuations, 2, mohammedia=b"{}") == {SOUTH}
+
+
 def test_row_that_is_gone_after_lost_history_is_taken_back(apply_rows):
     evacuations = Evacuations()
     apply_rows(evacuations, 5, is_full=True, mohammedia=b"{}")
@@ -116,6 +141,28 @@
     evacuations = Evacuations()
     assert apply_rows(evacuations, 5, is_full=True, nowhere=b"{}") == set()
     assert evacuations.version(OPERATOR) == 5
+    assert apply_rows(evacuations, 6, nowhere=None) == set()
+
+
+@pytest.fixture
+def run_on_processes(declarations_text):
+    """Returns a function that runs a test on processes that can be frozen."""
+
+    def run(test):
+        freezer = TaskFreezer()
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                deployment = ProcessDeployment(nursery, SERVICE, freezer)
+                await deployment.configure(declarations_text)
+                await test(deployment)
+                nursery.cancel_scope.cancel()
+
+        with seeded_scheduler(0):
+            clock = trio.testing.MockClock(autojump_threshold=0)
+            trio.run(main, clock=clock, instruments=[freezer])
+
+    return run
 
 
 class Receiver:
@@ -293,6 +340,30 @@
     run_on_deployment(test)
 
 
+@pytest.mark.parametrize("is_taken_back", [False, True])
+def test_entry_frozen_over_a_change(run_on_processes, make_job, is_taken_back):
+    async def test(deployment):
+        entries = await start(deployment)
+        await submit_for(deployment, make_job, 1)
+        deployment.processes[entries[1]].freeze()
+        entries[0].evacuations.adopt(state(5, NORTH), "store")
+        requested_s = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            # These are assigned as if nothing had changed.
+            nursery.start_soon(submit_for, deployment, make_job, 0.2, entries[1:])
+            await trio.sleep(0.5)
+            if is_taken_back:
+                entries[0].evacuations.adopt(state(6), "store")
+            await trio.sleep(0.5)
+            deployment.processes[entries[1]].resume()
+        assert await submit_for(deployment, make_job, 1, entries[1:]) == {Code.OK}
+        assert entries[1].evacuations.version(OPERATOR) == 5 + is_taken_back
+        started = count_starts(deployment, NORTH_WORKERS, requested_s + SPREAD_S)
+        assert (started > 0) == is_taken_back
+
+    run_on_processes(test)
+
+
 def test_request_and_withdrawal_within_a_second(run_on_deployment, make_job):
     async def test(deployment):
         entries = await start(deployment)
@@ -405,6 +476,7 @@
         assert count_starts(deployment, NORTH_WORKERS, requested_s) == 0
 
     async def start_unaware(deployment):
+        deployment.is_operator_table_readable = False
         entries = [
             await deployment.add_entry(f"entry-{n}", awaits_evacuations=True)
             for n in range(2)
