leased: don't renew the lease of a run that can't be stopped

While a stop was not confirmed, the lease went on for the worker's runs, so a job that was answered 504 and sent again ran twice.

--- a/gooseberrylink/backends/leased.py
+++ b/gooseberrylink/backends/leased.py
@@ -31,6 +31,7 @@
 
 from gooseberrylink.backends.client import BackendOutcome, BackendOwner
 from gooseberrylink.backends.fencing import FencingToken
+from gooseberrylink.backends.leased_run import LeasedRun
 from gooseberrylink.backends.order_limiter import LimitedRunClient
 from gooseberrylink.backends.runs import (
     ControlReply,
@@ -113,58 +114,6 @@
         return lease_s * (1 + MAX_CLOCK_DRIFT) + self.margin_s
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class _Run:
-    """A run whose start was requested and whose end is not known.
-
-    Attributes:
-        requested_s: When the start was requested.
-        started_s: When the agent learned that the run started; None before.
-        stop_effective_s: Time from which on the run is certainly stopped or can no
-            longer start; None while no stop is confirmed.
-        may_have_run: Whether it may have run at an earlier incarnation of the backend
-            server although the start has no reply.
-        is_evidence: Whether a start without a reply is evidence of a fault of the
-            backend server, as those before it had no reply either.
-        progress: Completed fraction, 0 to 1, as last reported.
-        progressed_s: When the progress last rose.
-        last_listed_s: When a report last listed it; None before.
-        was_backend_alive: Whether the backend server had replied to another request
-            shortly before the start was requested.
-        is_backend_lost: Whether it ended because the backend server was lost, and not
-            as the backend server had announced.
-        is_crash: Whether it ended because a newer incarnation was seen.
-        is_stalled: Whether the run was stopped because of missing progress.
-        end: How the run ended; None before.
-        is_in_doubt: Whether its owner was told that its start is in doubt.
-        is_stopping: Whether a stop was requested.
-        stop_requests: How many requests to stop it were sent.
-        stop_settled: Set when a stop is confirmed or the run has ended.
-        ended: Set when the run has ended.
-    """
-
-    key: RunKey
-    task_id: str
-    requested_s: float
-    started_s: float | None = None
-    stop_effective_s: float | None = None
-    may_have_run: bool = False
-    is_evidence: bool = True
-    progress: float = 0.0
-    progressed_s: float = math.inf
-    last_listed_s: float | None = None
-    was_backend_alive: bool = False
-    is_backend_lost: bool = False
-    is_crash: bool = False
-    is_stalled: bool = False
-    end: EndKind | None = None
-    is_in_doubt: bool = False
-    is_stopping: bool = False
-    stop_requests: int = 0
-    stop_settled: trio.Event = dataclasses.field(default_factory=trio.Event)
-    ended: trio.Event = dataclasses.field(default_factory=trio.Event)
-
-
 class LeasedBackendClient:
     """Agent's client of a backend server with leases; see BackendClient.
 
@@ -198,7 +147,8 @@
         self._settings = settings
         self._metrics = metrics
         self._owner = owner
-        self._runs: dict[RunKey, _Run] = {}
+        self._runs: dict[RunKey, LeasedRun] = {}
+        self._unconfirmed_stops: set[LeasedRun] = set()
         self._last_end_number = 0
         self._unanswered_start_count = 0
         self._backend_clock_ms = 0
@@ -296,7 +246,7 @@
         if not self.is_open:
             return _refusal("backend_not_open")
         now_s = trio.current_time()
-        run = _Run(self._client.make_run_key(payload, attempt), task_id, now_s)
+        run = LeasedRun(self._client.make_run_key(payload, attempt), task_id, now_s)
         if await self._wait_for_earlier_run(run.key.name):
             return _refusal("run_in_progress")
         run.was_backend_alive = now_s - self._last_sign_of_life_s < _CRASH_ON_START_S
@@ -329,7 +279,7 @@
             if run.task_id == task_id:
                 self._stop_soon(run)
 
-    async def _run(self, run: _Run, payload: Any) -> BackendOutcome:
+    async def _run(self, run: LeasedRun, payload: Any) -> BackendOutcome:
         reply = await self._start(run, payload)
         self._metrics.add("run_orders", reply.value)
         self._metrics.observe("run_order", trio.current_time() - run.requested_s)
@@ -359,7 +309,7 @@
         await run.ended.wait()
         return self._outcome(run)
 
-    async def _start(self, run: _Run, payload: Any) -> StartReply:
+    async def _start(self, run: LeasedRun, payload: Any) -> StartReply:
         """Requests the start, again with the present token if it was fenced.
 
         The token may have been increased while the request was in flight. Nothing is
@@ -386,7 +336,7 @@
                 break
         return reply
 
-    def _outcome(self, run: _Run) -> BackendOutcome:
+    def _outcome(self, run: LeasedRun) -> BackendOutcome:
         run_s = trio.current_time() - run.requested_s
         reason = STALLED if run.is_stalled else run.end.value
         if run.end is EndKind.DONE:
@@ -405,12 +355,14 @@
             is_start_unanswered=run.started_s is None,
         )
 
-    def _record_started(self, run: _Run, now_s: float) -> None:
+    def _record_started(self, run: LeasedRun, now_s: float) -> None:
         if run.started_s is None:
             run.started_s = now_s
             self._owner.handle_start_confirmed(run.task_id)
 
-    def _finish(self, run: _Run, kind: EndKind, is_backend_lost: bool = False) -> None:
+    def _finish(
+        self, run: LeasedRun, kind: EndKind, is_backend_lost: bool = False
+    ) -> None:
         if run.end is None:
             run.end = kind
             is_backend_lost = is_backend_lost or kind is EndKind.LOST
@@ -429,19 +381,19 @@
             run.stop_settled.set()
             run.ended.set()
 
-    def _stop_soon(self, run: _Run) -> None:
+    def _stop_soon(self, run: LeasedRun) -> None:
         if not run.is_stopping and self._nursery is not None:
-            run.is_stopping = True
+            run.stop_requested_s = trio.current_time()
             self._nursery.start_soon(self._stop, run)
 
-    async def _report_if_unconfirmed(self, run: _Run) -> None:
+    async def _report_if_unconfirmed(self, run: LeasedRun) -> None:
         """Reports a start without a reply if its stop is not confirmed soon either."""
         with trio.move_on_after(self._settings.max_unconfirmed_s):
             await run.ended.wait()
         if run.end is None:
             self._owner.handle_start_unconfirmed(run.task_id)
 
-    async def _stop(self, run: _Run) -> None:
+    async def _stop(self, run: LeasedRun) -> None:
         """Requests the stop of a run until one request is confirmed or the run ends.
 
         A request is normally answered within milliseconds, and it is idempotent.
@@ -449,6 +401,7 @@
         reply.
         """
         pause_s = self._settings.retry_s
+        self._unconfirmed_stops.add(run)
         async with trio.open_nursery() as nursery:
             while not run.stop_settled.is_set():
                 if len(nursery.child_tasks) < _MAX_STOPS_IN_FLIGHT:
@@ -459,8 +412,9 @@
                     pause_s * _STOP_PAUSE_GROWTH, self._settings.max_stop_pause_s
                 )
             nursery.cancel_scope.cancel()
+        self._unconfirmed_stops.discard(run)
 
-    async def _request_stop(self, run: _Run) -> None:
+    async def _request_stop(self, run: LeasedRun) -> None:
         run.stop_requests += 1
         fencing_token = self._fencing_token.value
         reply = await self._client.stop(run.key, fencing_token)
@@ -676,9 +630,15 @@
         self._owner.handle_availability_change()
 
     def _next_lease_s(self) -> float:
-        """Returns how long the next lease may last; at most 0 if none is allowed."""
-        limit_s = self._owner.run_lease_limit_s() - trio.current_time()
-        return min(self._settings.lease_s, limit_s)
+        """Returns how long the next lease may last; at most 0 if none is allowed.
+
+        A lease holds for all runs, also for one that does not stop as requested.
+        """
+        limit_s = min(
+            (run.lease_limit_s for run in self._unconfirmed_stops), default=math.inf
+        )
+        limit_s = min(limit_s, self._owner.run_lease_limit_s())
+        return min(self._settings.lease_s, limit_s - trio.current_time())
 
     def _to_backend_clock_ms(self, from_now_s: float) -> int:
         elapsed_s = trio.current_time() - self._clock_read_s
@@ -690,7 +650,7 @@
         self._lease_end_s = max(self._lease_end_s, trio.current_time() + duration_s)
 
 
-def _may_have_crashed_backend(run: _Run) -> bool:
+def _may_have_crashed_backend(run: LeasedRun) -> bool:
     """Returns whether the last sign of life came just before or after the start."""
     if run.started_s is None:
         return run.was_backend_alive
