entry_choice: don't connect to an entry that was forgotten while it was dialled

Its peer was no longer among the agent's, so its frames would have got no answer. The test of forgotten addresses now asks for it, and failed before.

--- a/gooseberrylink/entry_choice.py
+++ b/gooseberrylink/entry_choice.py
@@ -101,6 +101,9 @@
 
     def wants(self, address: str, now_s: float) -> bool:
         """Returns whether to connect to an entry that answers."""
+        if address not in self._order:
+            # It was forgotten while it was dialled.
+            return False
         opening_count = sum(
             other != address and now_s - opened_s < _MAX_OPENING_S
             for other, opened_s in self._opening_since_s.items()
--- a/tests/test_entry_choice.py
+++ b/tests/test_entry_choice.py
@@ -94,6 +94,7 @@
         if now_s in (130, 230):
             # Others may name them until they have noticed, too.
             assert choice.known() == ["live:1"]
+            assert not choice.wants(DEAD[0], now_s)
     assert "live:1" in choice
 
 
