--- a/gooseberrylink/backends/leased_run.py
+++ b/gooseberrylink/backends/leased_run.py
@@ -9,9 +9,9 @@
 
 # Longest time for which the lease is renewed after a stop that is not confirmed. Its
 # job may have been answered when the stop was requested, and may be sent again 1.3 s
-# later; a lease lasts up to 0.07 s longer than requested. Most stops are confirmed
-# within 0.1 s, and 15 requests are sent until then, so that the other runs at the
-# backend server are given up only if it doesn't execute orders.
+# later; a lease lasts up to 0.07 s longer than requested. By the pauses between them,
+# some 16 requests to stop the run are sent until then, so the other runs at the backend
+# server are given up only if it executes no orders.
 MAX_UNSTOPPED_S = 1.1
 
 
