Start entries without the modules of agents

Cause: the entry program imported the agent for an annotation, and the lease client for two constants. The lease's durations are now in backends/lease_settings.py.

--- a/gooseberrylink/entry_discovery.py
+++ b/gooseberrylink/entry_discovery.py
@@ -7,10 +7,10 @@
 """
 
 import random
+from typing import TYPE_CHECKING
 
 import trio
 
-from gooseberrylink.agent import Agent
 from gooseberrylink.logs import log_event
 from gooseberrylink.metrics import Metrics
 from gooseberrylink.store import (
@@ -21,6 +21,10 @@
     watch_table,
 )
 
+if TYPE_CHECKING:
+    # Entries use this module as well, and start sooner without the agent's modules.
+    from gooseberrylink.agent import Agent
+
 _TABLE = "gooseberrylink-entries"
 # A dead connection to the store may be noticed this late, because connected entries
 # also send the addresses of other entries.
@@ -42,7 +46,7 @@
         await trio.sleep(random.uniform(*_REFRESH_S))
 
 
-async def watch_entries(store: RowStore, agent: Agent) -> None:
+async def watch_entries(store: RowStore, agent: "Agent") -> None:
     """Passes the entries in the table to an agent, until cancelled.
 
     It also removes the rows of entries that the agent takes for gone.
--- a/gooseberrylink/platform/agent_program.py
+++ b/gooseberrylink/platform/agent_program.py
@@ -9,7 +9,8 @@
 from gooseberrylink.backends.announcement_store import AnnouncementStore
 from gooseberrylink.backends.client import Announcement
 from gooseberrylink.backends.incarnations import IncarnationTracker
-from gooseberrylink.backends.leased import LEASE_S, LeasedBackendClient, LeaseSettings
+from gooseberrylink.backends.lease_settings import LEASE_S, LeaseSettings
+from gooseberrylink.backends.leased import LeasedBackendClient
 from gooseberrylink.entry_discovery import watch_entries
 from gooseberrylink.http_server import serve_http
 from gooseberrylink.logs import log_event
--- a/gooseberrylink/platform/common.py
+++ b/gooseberrylink/platform/common.py
@@ -8,7 +8,7 @@
 import trio
 
 from gooseberrylink.asgi import PlainRequest, PlainResponse, make_plain_app
-from gooseberrylink.backends.leased import LEASE_S, LeaseSettings
+from gooseberrylink.backends.lease_settings import LEASE_S, LeaseSettings
 from gooseberrylink.exceptions import ConfigError
 from gooseberrylink.http_server import serve_http
 from gooseberrylink.logs import configure_logs, log_event
