Ranks jobs by declared priority under overload, with floors

Cause: jobs with a latency target were ordered by the end of their wait limit alone, so a job of the last priority took slots while urgent ones were refused, and jobs that had begun waited behind new ones. Queues now declare a priority, which the adapter decodes; where they differ, sharing.py ranks the jobs, the rest of a begun job goes first, and jobs are refused on submission or given up by a quarter of their target.

--- a/gooseberrylink/admission.py
+++ b/gooseberrylink/admission.py
@@ -6,9 +6,9 @@
 from gooseberrylink.operators.declarations import Customer, Service
 from gooseberrylink.quotas import Quotas
 from gooseberrylink.run_times import RunTimeModel
+from gooseberrylink.scheduling.sharing import make_sharing
 from gooseberrylink.service_pool import ServicePool
 from gooseberrylink.types import Job, JobRequest, Task
-from gooseberrylink.wait_limits import wait_limit_s
 
 # A job is refused if it is expected to complete after this share of its deadline. More
 # urgent jobs may overtake it after its admission, and a job that expires half done has
@@ -38,6 +38,7 @@
         quotas: Quotas,
         run_times: RunTimeModel,
         is_deadline_aware: bool,
+        data_centre: str,
     ):
         """Creates the admission control of an entry.
 
@@ -47,11 +48,13 @@
             run_times: Predicts the run times of tasks.
             is_deadline_aware: See RoutingPolicy. If False, jobs are not refused
                 for the time that they are expected to take or to wait.
+            data_centre: Data centre of the entry.
         """
         self._configuration = configuration
         self._quotas = quotas
         self._run_times = run_times
         self._is_deadline_aware = is_deadline_aware
+        self._data_centre = data_centre
         self.startup_grace_ends_s = 0.0
 
     def check(
@@ -90,6 +93,13 @@
         service = self._require_service(request)
         self._check_limits(request, service)
         expected_s = self._predict_run_times_s(request)
+        if self._is_deadline_aware and request.latency_target is not None:
+            pool.sharing = make_sharing(
+                pool.sharing,
+                self._data_centre,
+                self._configuration.priorities(request.service),
+            )
+            pool.sharing.record_request(request.customer, max(expected_s), now_s)
         if now_s > self.startup_grace_ends_s:
             self._check_backends(request, pool)
             self._check_capacity(request, customer, pool, now_s, expected_s)
@@ -124,8 +134,11 @@
             sort_key = pool.sort_key(job, customer, sum(expected_s), max(expected_s))
             pool.charge(customer, sum(expected_s), job.submitted_s)
         if request.latency_target is not None:
-            limit_s = wait_limit_s(request, max(expected_s), pool.min_slowdown)
+            limit_s = pool.wait_limit_s(request, max(expected_s))
             job.longest_task_s = max(expected_s)
+            job.predicted_wait_s = pool.predict_wait_s(
+                sort_key, request, job.submitted_s
+            )
             job.start_by_s = job.submitted_s + limit_s
         long_after_s = self._configuration.long_threshold_s(request.service)
         for index, spec in enumerate(request.tasks):
@@ -229,7 +242,7 @@
         candidate = Job("", request, now_s, now_s + request.deadline_s)
         sort_key = pool.sort_key(candidate, customer, sum(expected_s), max(expected_s))
         if request.latency_target is not None:
-            self._check_wait(request, pool, sort_key, max(expected_s))
+            self._check_wait(request, pool, sort_key, max(expected_s), now_s)
             return
         # A job takes at least as long as its longest task, however many run at once.
         completion_s = (
@@ -255,10 +268,12 @@
         pool: ServicePool,
         sort_key: tuple[int, float],
         longest_task_s: float,
+        now_s: float,
     ) -> None:
         """Refuses a job that would exceed its wait limit in the queue."""
-        expected_wait_s = pool.min_slowdown * pool.expected_wait_s(sort_key)
-        if expected_wait_s > wait_limit_s(request, longest_task_s, pool.min_slowdown):
+        expected_wait_s = pool.predict_wait_s(sort_key, request, now_s)
+        if expected_wait_s > pool.wait_limit_s(request, longest_task_s):
+            pool.record_refused(request, longest_task_s, now_s)
             detail = (
                 f"the first task would wait about {expected_wait_s:.2f} s,"
                 f" too long for a latency target of {request.latency_target.stretch:g}"
--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -100,7 +100,11 @@
         self._retry_budget = RetryBudget(settings.retry_share, _MAX_RETRY_BUDGET)
         self._policy = make_policy(settings, random.Random(seed), self.run_times)
         self._admission = Admission(
-            configuration, self.quotas, self.run_times, self._policy.is_deadline_aware
+            configuration,
+            self.quotas,
+            self.run_times,
+            self._policy.is_deadline_aware,
+            settings.data_centre,
         )
         # For each agent whose link closed while it had tasks of this entry: the time
         # from which none that has started can be running, as all leases have expired.
@@ -816,13 +820,10 @@
             Whether it did either.
         """
         now_s = trio.current_time()
-        candidates = pool.queue.peek_many(False, _SCAN_DEPTH)
-        candidates += pool.queue.peek_many(True, _SCAN_DEPTH)
-        candidates += pool.queue.peek_suspects(_SCAN_DEPTH)
         # What the short (False) and long (True) tasks need that no worker could take.
         # Tasks that need at least as much are not tried.
         unplaced: dict[bool, list[Resources]] = {False: [], True: []}
-        for task in sorted(candidates, key=lambda head: head.sort_key):
+        for task in pool.queue.candidates(_SCAN_DEPTH, now_s):
             needs = task.spec.resources
             may_fit = not any(needs.covers(other) for other in unplaced[task.is_long])
             if may_fit and self._can_end_in_time(task, now_s):
--- a/gooseberrylink/operators/configuration.py
+++ b/gooseberrylink/operators/configuration.py
@@ -34,6 +34,7 @@
         self._customers: dict[str, Customer] = {}
         self._services: dict[str, Service] = {}
         self._queues: dict[str, list[Queue]] = {}
+        self._priorities: dict[str, dict[str, int]] = {}
 
     def adopt(self, version: int, text: str, source: str) -> bool:
         """Adopts a version in this process if it is newer than the current one.
@@ -69,7 +70,10 @@
         self._customers = {c.name: c for c in declarations.rules.customers}
         self._services = {s.name: s for s in declarations.inventory.services}
         self._queues = {}
+        self._priorities = {}
         for queue in declarations.rules.queues:
+            priorities = self._priorities.setdefault(queue.service, {})
+            priorities[queue.name] = queue.priority
             self._queues.setdefault(queue.host.lower(), []).append(queue)
         for queues in self._queues.values():
             queues.sort(key=lambda queue: -len(queue.path_prefix))
@@ -96,6 +100,10 @@
                 return queue
         return None
 
+    def priorities(self, service: str) -> dict[str, int]:
+        """Returns the priorities of the customers with queues of a service."""
+        return self._priorities.get(service, {})
+
     def long_threshold_s(self, service: str) -> float:
         """Returns the run time from which a task of a service counts as long."""
         known = self._services.get(service)
--- a/gooseberrylink/operators/declarations.py
+++ b/gooseberrylink/operators/declarations.py
@@ -109,6 +109,9 @@
         max_failures: Failed runs of a task after which its job fails.
         stretch: Factor on the run time of the longest task.
         target_latency_s: Seconds added to the stretched run time.
+        priority: When demand exceeds the room, jobs of queues with a lower value go
+            first, within floors for the others. No effect if all queues of a service
+            have the same.
     """
 
     name: str
@@ -118,6 +121,7 @@
     max_failures: int = Field(default=1, ge=1)
     stretch: float = Field(default=1.0, gt=0)
     target_latency_s: float = Field(default=0.0, ge=0)
+    priority: int = Field(default=0, ge=0, le=9)
 
 
 class Limits(StrictModel):
--- a/gooseberrylink/platform/desired_state.py
+++ b/gooseberrylink/platform/desired_state.py
@@ -37,6 +37,7 @@
     max_attempts: int = 1
     stretch: float = 1.0
     target_latency_ms: float = 0.0
+    priority: int = 0
 
 
 class _Service(msgspec.Struct):
@@ -137,4 +138,5 @@
         "max_failures": route.max_attempts,
         "stretch": route.stretch,
         "target_latency_s": route.target_latency_ms / 1000,
+        "priority": min(9, max(0, route.priority)),
     }
--- /dev/null
+++ b/gooseberrylink/scheduling/sharing.py
@@ -0,0 +1,338 @@
+"""Decides whose jobs go first when demand exceeds the room.
+
+Load pattern: at the crest of a day demand is above the capacity for seconds. Jobs of
+several customers differ in length, width and priority. By due time alone, long tasks
+of a low priority take the slots, and short urgent jobs are turned away; by priority
+alone, the last customer, the largest jobs or one data centre's callers get nothing.
+
+The rules: what has begun is finished first. Then come classes of jobs that get less
+than their floor, a share of what all jobs get. Then priority decides, and among equals
+the due time. So priority decides between the floor and the whole.
+"""
+
+import collections
+import dataclasses
+import math
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple, Protocol
+
+# Sort ranks. A higher rank goes first. Ranks of sharing are above all precedences that
+# operators can declare, which makes them recognizable at agents.
+MIN_SHARING_RANK = 10
+_MAX_PRIORITY = 9
+_BELOW_FLOOR_RANK = MIN_SHARING_RANK + _MAX_PRIORITY + 1
+STARTED_RANK = _BELOW_FLOOR_RANK + 1
+# A strict precedence of the operator outweighs all ranks.
+_RANKS_A_PRECEDENCE = 100
+
+# Least share of its jobs that a class gets, relative to that of all jobs.
+_FLOOR = 0.9
+_HALF_LIFE_S = 3.0
+# A class counts as served like all jobs until it has sent about this many.
+_PRIOR_JOBS = 2.0
+# Counts below this are forgotten.
+_MIN_JOBS = 0.01
+# Upper limits of all bands of sizes but the last, as shares of a customer's jobs: the
+# largest tenth is a band, and the fifth below it.
+_BAND_QUANTILES = (0.7, 0.9)
+_QUANTILE_STEP = 0.05
+# How long the totals that an agent reported are used.
+_TOTALS_VALID_S = 2.0
+
+
+def rank_of_started(rank: int) -> int:
+    """Returns the rank for the rest of a job that began with a rank."""
+    return rank - rank % _RANKS_A_PRECEDENCE + STARTED_RANK
+
+
+class JobClass(NamedTuple):
+    """A class of jobs.
+
+    Attributes:
+        data_centre: Data centre of the entry that the caller reached.
+        band: 2 for the customer's largest jobs, 1 for those below, 0 for the others.
+    """
+
+    customer: str
+    data_centre: str
+    band: int
+
+
+class Counts(NamedTuple):
+    """Jobs of a class, decayed exponentially.
+
+    Attributes:
+        requested: Jobs that were sent.
+        turned_away: Those of them that were refused or given up.
+    """
+
+    requested: float
+    turned_away: float
+
+
+class SharingPolicy(Protocol):
+    """Ranks the jobs of a service at one entry.
+
+    Attributes:
+        is_active: Whether ranks decide. If not, jobs are ordered by due time.
+    """
+
+    is_active: bool
+
+    def rank(self, customer: str, precedence: int, longest_task_s: float) -> int:
+        """Returns the rank of a new job; higher goes first."""
+
+    def record_request(
+        self, customer: str, longest_task_s: float, now_s: float
+    ) -> None:
+        """Counts a job that was sent."""
+
+    def record_turned_away(
+        self, customer: str, longest_task_s: float, now_s: float
+    ) -> None:
+        """Counts a job that was refused or given up before it began."""
+
+
+class NoSharing:
+    """Ranks jobs by the operator's precedence alone; see SharingPolicy."""
+
+    is_active = False
+
+    def rank(self, customer: str, precedence: int, longest_task_s: float) -> int:
+        """See SharingPolicy."""
+        return precedence
+
+    def record_request(
+        self, customer: str, longest_task_s: float, now_s: float
+    ) -> None:
+        """See SharingPolicy; does nothing."""
+
+    def record_turned_away(
+        self, customer: str, longest_task_s: float, now_s: float
+    ) -> None:
+        """See SharingPolicy; does nothing."""
+
+
+class Ledger:
+    """Counts jobs by class, decayed exponentially."""
+
+    def __init__(self):
+        self._counts: dict[JobClass, Counts] = {}
+        self._decayed_s = 0.0
+
+    def add(
+        self, job_class: JobClass, requested: float, turned_away: float, now_s: float
+    ) -> None:
+        """Adds jobs to a class."""
+        self._decay(now_s)
+        counts = self._counts.get(job_class, Counts(0.0, 0.0))
+        self._counts[job_class] = Counts(
+            counts.requested + requested, counts.turned_away + turned_away
+        )
+
+    def counts(self, now_s: float) -> dict[JobClass, Counts]:
+        """Returns the counts by class."""
+        self._decay(now_s)
+        return dict(self._counts)
+
+    def _decay(self, now_s: float) -> None:
+        elapsed_s = now_s - self._decayed_s
+        if elapsed_s <= 0:
+            return
+        self._decayed_s = now_s
+        factor = 0.5 ** (elapsed_s / _HALF_LIFE_S)
+        self._counts = {
+            job_class: Counts(c.requested * factor, c.turned_away * factor)
+            for job_class, c in self._counts.items()
+            if c.requested * factor > _MIN_JOBS
+        }
+
+
+def classes_below_floor(counts: Mapping[JobClass, Counts]) -> set[tuple[str, ...]]:
+    """Returns the customers, bands and data centres that get less than the floor.
+
+    A customer is returned as (customer,), a band as (customer, band) and a data centre
+    as ("", data centre).
+    """
+    sums: dict[tuple[str, ...], Counts] = {}
+    whole = Counts(0.0, 0.0)
+    for job_class, c in counts.items():
+        whole = Counts(whole.requested + c.requested, whole.turned_away + c.turned_away)
+        for group in _groups(job_class):
+            total = sums.get(group, Counts(0.0, 0.0))
+            sums[group] = Counts(
+                total.requested + c.requested, total.turned_away + c.turned_away
+            )
+    if whole.turned_away <= 0:
+        return set()
+    served = 1 - whole.turned_away / whole.requested
+    return {
+        group
+        for group, c in sums.items()
+        if (c.requested - c.turned_away + _PRIOR_JOBS * served)
+        < _FLOOR * served * (c.requested + _PRIOR_JOBS)
+    }
+
+
+def _groups(job_class: JobClass) -> Iterable[tuple[str, ...]]:
+    return (
+        (job_class.customer,),
+        (job_class.customer, str(job_class.band)),
+        ("", job_class.data_centre),
+    )
+
+
+class SizeBands:
+    """Learns into which band of its customer's sizes a job falls."""
+
+    def __init__(self):
+        # Logarithms of the quantiles, in seconds.
+        self._limits: dict[str, list[float]] = {}
+        self._numbers: collections.Counter[str] = collections.Counter()
+
+    def add(self, customer: str, longest_task_s: float) -> None:
+        """Learns the size of a job."""
+        size = math.log(max(longest_task_s, 1e-3))
+        limits = self._limits.setdefault(customer, [size] * len(_BAND_QUANTILES))
+        self._numbers[customer] += 1
+        step = max(_QUANTILE_STEP, 1.0 / self._numbers[customer])
+        for index, quantile in enumerate(_BAND_QUANTILES):
+            limits[index] += step * (quantile - (size <= limits[index]))
+
+    def band(self, customer: str, longest_task_s: float) -> int:
+        """Returns the band of a job; 0 for a customer that is not known yet."""
+        size = math.log(max(longest_task_s, 1e-3))
+        return sum(size > limit for limit in self._limits.get(customer, ()))
+
+
+@dataclasses.dataclass(slots=True)
+class _Totals:
+    """Counts of other entries, as an agent reported them."""
+
+    counts: dict[JobClass, Counts]
+    received_s: float
+
+
+class PrioritySharing:
+    """Ranks jobs by priority, with floors; see SharingPolicy and the module.
+
+    Without reports from agents it decides by what happened at its own entry.
+    """
+
+    is_active = True
+
+    def __init__(self, data_centre: str, priorities: Mapping[str, int]):
+        """Creates the policy of one entry for one service.
+
+        Args:
+            data_centre: Data centre of the entry.
+            priorities: Priority of each customer; 0 goes first.
+        """
+        self._data_centre = data_centre
+        self.priorities = priorities
+        self._bands = SizeBands()
+        self._ledger = Ledger()
+        self._others = _Totals({}, -math.inf)
+        self._below_floor: set[tuple[str, ...]] = set()
+
+    def rank(self, customer: str, precedence: int, longest_task_s: float) -> int:
+        """See SharingPolicy."""
+        rank = MIN_SHARING_RANK + _MAX_PRIORITY
+        rank -= min(_MAX_PRIORITY, self.priorities.get(customer, 0))
+        job_class = self._job_class(customer, longest_task_s)
+        if not self._below_floor.isdisjoint(_groups(job_class)):
+            rank = _BELOW_FLOOR_RANK
+        return rank + _RANKS_A_PRECEDENCE * precedence
+
+    def record_request(
+        self, customer: str, longest_task_s: float, now_s: float
+    ) -> None:
+        """See SharingPolicy."""
+        self._bands.add(customer, longest_task_s)
+        job_class = self._job_class(customer, longest_task_s)
+        self._ledger.add(job_class, 1.0, 0.0, now_s)
+        self._update_floors(now_s)
+
+    def record_turned_away(
+        self, customer: str, longest_task_s: float, now_s: float
+    ) -> None:
+        """See SharingPolicy."""
+        job_class = self._job_class(customer, longest_task_s)
+        self._ledger.add(job_class, 0.0, 1.0, now_s)
+
+    def own_counts(self, now_s: float) -> dict[JobClass, Counts]:
+        """Returns what this entry reports to agents."""
+        return self._ledger.counts(now_s)
+
+    def record_others(self, counts: dict[JobClass, Counts], now_s: float) -> None:
+        """Records the counts of all other entries, as an agent reported them."""
+        self._others = _Totals(counts, now_s)
+
+    def _job_class(self, customer: str, longest_task_s: float) -> JobClass:
+        band = self._bands.band(customer, longest_task_s)
+        return JobClass(customer, self._data_centre, band)
+
+    def _update_floors(self, now_s: float) -> None:
+        counts = self._ledger.counts(now_s)
+        if now_s - self._others.received_s < _TOTALS_VALID_S:
+            for job_class, other in self._others.counts.items():
+                own = counts.get(job_class, Counts(0.0, 0.0))
+                counts[job_class] = Counts(
+                    own.requested + other.requested,
+                    own.turned_away + other.turned_away,
+                )
+        self._below_floor = classes_below_floor(counts)
+
+
+class WaitMargin:
+    """Corrects the predicted wait so that few jobs wait in vain.
+
+    Of the jobs that are turned away, nine in ten shall be refused on submission.
+    Each job that is given up after a wait raises the margin nine times as much as each
+    refusal on submission lowers it. Without either the margin returns to 1.
+    """
+
+    _STEP = 0.02
+    _LIMITS = (math.log(0.5), math.log(8.0))
+    _HALF_LIFE_S = 5.0
+
+    def __init__(self):
+        self._log_margins: dict[str, tuple[float, float]] = {}
+
+    def factor(self, customer: str, now_s: float) -> float:
+        """Returns the factor for the predicted wait of a customer's job."""
+        log_margin, updated_s = self._log_margins.get(customer, (0.0, now_s))
+        elapsed_s = max(0.0, now_s - updated_s)
+        return math.exp(log_margin * 0.5 ** (elapsed_s / self._HALF_LIFE_S))
+
+    def record_refused(self, customer: str, now_s: float) -> None:
+        """Records a refusal on submission."""
+        self._move(customer, -self._STEP, now_s)
+
+    def record_given_up(self, customer: str, now_s: float) -> None:
+        """Records that a job was given up after it had waited."""
+        self._move(customer, 9 * self._STEP, now_s)
+
+    def _move(self, customer: str, step: float, now_s: float) -> None:
+        low, high = self._LIMITS
+        log_margin = math.log(self.factor(customer, now_s)) + step
+        self._log_margins[customer] = min(high, max(low, log_margin)), now_s
+
+
+def make_sharing(
+    current: SharingPolicy, data_centre: str, priorities: Mapping[str, int]
+) -> SharingPolicy:
+    """Returns the policy for priorities; the current one if it fits, with its counts.
+
+    Args:
+        current: The policy in force.
+        data_centre: Data centre of the entry.
+        priorities: Declared priority of each customer of the service. If all are
+            equal, the policy does nothing.
+    """
+    if len(set(priorities.values())) < 2:
+        return NoSharing() if current.is_active else current
+    if isinstance(current, PrioritySharing):
+        current.priorities = priorities
+        return current
+    return PrioritySharing(data_centre, priorities)
--- a/gooseberrylink/service_pool.py
+++ b/gooseberrylink/service_pool.py
@@ -5,9 +5,10 @@
 from gooseberrylink.operators.declarations import Customer
 from gooseberrylink.peers.agent_peer import AgentPeer
 from gooseberrylink.resources import Resources
+from gooseberrylink.scheduling.sharing import NoSharing, SharingPolicy, WaitMargin
 from gooseberrylink.task_queue import TaskQueue
-from gooseberrylink.types import Job
-from gooseberrylink.wait_limits import wait_limit_s
+from gooseberrylink.types import Job, JobRequest
+from gooseberrylink.wait_limits import early_wait_limit_s, wait_limit_s
 
 _MAX_ADVERTISED_TASKS_PER_AGENT = 2
 # Maximum number of agents to which frames are sent only to advertise demand. Until the
@@ -30,6 +31,8 @@
             empty; None while it is empty.
         mean_task_units: Moving average of the units (see Resources) that a task uses.
         min_slowdown: Run time divided by expected run time on the fastest workers.
+        sharing: Ranks the jobs when demand exceeds the room.
+        wait_margin: Corrects the predicted waits where sharing is active.
     """
 
     def __init__(self, service: str):
@@ -40,6 +43,9 @@
         self.queue_nonempty_since_s: float | None = None
         self.mean_task_units = 0.0
         self.min_slowdown = 1.0
+        self.sharing: SharingPolicy = NoSharing()
+        self.wait_margin = WaitMargin()
+        self.queue.on_turned_away = self._record_given_up
         self._virtual_finish_s: dict[str, float] = {}
         self._weights: dict[str, float] = {}
 
@@ -103,23 +109,58 @@
             return total_s
         return self.queue.work_before_s(sort_key) / self.parallelism()
 
+    def predict_wait_s(
+        self, sort_key: tuple[int, float], request: JobRequest, now_s: float
+    ) -> float:
+        """Predicts how long a job would wait for its first task to start, in seconds.
+
+        Without sharing the prediction is that of expected_wait_s().
+        """
+        if not self.sharing.is_active:
+            return self.min_slowdown * self.expected_wait_s(sort_key)
+        free_units = sum(max(0, peer.free_units) for peer in self.peers)
+        needed_units = max(spec.resources.units for spec in request.tasks)
+        if not len(self.queue) and free_units >= needed_units:
+            return 0.0
+        in_use = self.in_flight_count + free_units / max(1.0, self.mean_task_units)
+        wait_s = self.queue.work_before_s(sort_key) / max(1.0, in_use)
+        factor = self.wait_margin.factor(request.customer, now_s)
+        return self.min_slowdown * factor * wait_s
+
+    def wait_limit_s(self, request: JobRequest, longest_task_s: float) -> float:
+        """Returns how long a job may wait for its first task to start, in seconds."""
+        limit_s = early_wait_limit_s if self.sharing.is_active else wait_limit_s
+        return limit_s(request, longest_task_s, self.min_slowdown)
+
+    def record_refused(
+        self, request: JobRequest, longest_task_s: float, now_s: float
+    ) -> None:
+        """Counts a job that was refused on submission for its predicted wait."""
+        self.sharing.record_turned_away(request.customer, longest_task_s, now_s)
+        self.wait_margin.record_refused(request.customer, now_s)
+
+    def _record_given_up(self, job: Job) -> None:
+        customer, now_s = job.request.customer, job.submitted_s
+        self.sharing.record_turned_away(customer, job.longest_task_s, now_s)
+        self.wait_margin.record_given_up(customer, now_s)
+
     def sort_key(
         self, job: Job, customer: Customer, work_s: float, longest_task_s: float
     ) -> tuple[int, float]:
         """Returns the sort key in the queue for all tasks of a job.
 
-        The key is the negated precedence of the customer and the time at which
-        the job is due. Each job is due at a multiple of its expected duration, so
-        short jobs go first, and a long one can be overtaken for a bounded time only.
-        As in weighted fair queueing, the jobs of a customer that exceeds its
+        The key is the negated rank of the job, which is the precedence of its customer
+        or follows from sharing, and the time at which the job is due. Each job is due
+        at a multiple of its expected duration, so short jobs go first, and a long one
+        can be overtaken for a bounded time only. As in weighted fair queueing, the
+        jobs of a customer that exceeds its
         share start from its virtual finish time. A job with a latency target is
         due at the end of its wait limit.
         """
         if job.request.latency_target is not None:
-            due_s = job.submitted_s + wait_limit_s(
-                job.request, longest_task_s, self.min_slowdown
-            )
-            return -customer.precedence, due_s
+            due_s = job.submitted_s + self.wait_limit_s(job.request, longest_task_s)
+            rank = self.sharing.rank(customer.name, customer.precedence, longest_task_s)
+            return -rank, due_s
         expected_duration_s = longest_task_s + work_s / self.parallelism()
         virtual_start_s = self._virtual_start_s(customer, job.submitted_s)
         return (
--- a/gooseberrylink/types.py
+++ b/gooseberrylink/types.py
@@ -177,6 +177,7 @@
             task was assigned before.
         longest_task_s: Expected run time of its longest task on a typical worker, in
             seconds (slowdown 1).
+        predicted_wait_s: Wait for its first task that its admission expected.
         unfinished_count: Number of tasks without a result.
         failure: Answer to give because the job failed; None if it has not.
         has_rerun_tasks: Whether a run of one of its tasks has ended and the task is
@@ -191,6 +192,7 @@
     expires_s: float
     start_by_s: float = math.inf
     longest_task_s: float = 0.0
+    predicted_wait_s: float = 0.0
     tasks: list[Task] = dataclasses.field(default_factory=list)
     results: list[Any] = dataclasses.field(default_factory=list)
     unfinished_count: int = 0
--- a/gooseberrylink/wait_limits.py
+++ b/gooseberrylink/wait_limits.py
@@ -15,6 +15,10 @@
 _UNDERRUN_FACTOR = 0.7
 # Share of its target response time that a job may wait even if it can't be on time.
 _MIN_WAIT_SHARE = 0.25
+# Share of its target response time within which a caller must know that its job is
+# turned away, and time that the answer takes.
+_MAX_KNOWN_SHARE = 0.25
+_REFUSAL_OVERHEAD_S = 0.004
 
 
 def on_time_wait_limit_s(
@@ -61,3 +65,20 @@
         _MIN_WAIT_SHARE * target_s,
     )
     return min(limit_s, request.deadline_s)
+
+
+def early_wait_limit_s(
+    request: JobRequest, longest_task_s: float, slowdown: float
+) -> float:
+    """Returns how long a job may wait if its caller must know early, in seconds.
+
+    It is the limit of wait_limit_s(), and at most a quarter of the target response
+    time. Under overload a longer wait serves no more callers: it only lengthens the
+    queue.
+    """
+    limit_s = wait_limit_s(request, longest_task_s, slowdown)
+    latency_target = request.latency_target
+    if latency_target is None:
+        return limit_s
+    target_s = latency_target.stretch * longest_task_s + latency_target.latency_s
+    return min(limit_s, _MAX_KNOWN_SHARE * target_s - _REFUSAL_OVERHEAD_S)
