Sums up at agents who was served and turned away, by class

Cause: each of many entries sees too few jobs of a rare class to keep its floor. Two agents a service now sum up the entries' counts (customer, data centre, size), which outlive an entry; a customer of a lower priority does not wait for room while one of a higher gets a smaller share.

--- a/gooseberrylink/admission.py
+++ b/gooseberrylink/admission.py
@@ -137,7 +137,7 @@
             limit_s = pool.wait_limit_s(request, max(expected_s))
             job.longest_task_s = max(expected_s)
             job.predicted_wait_s = pool.predict_wait_s(
-                sort_key, request, job.submitted_s
+                sort_key, request, max(expected_s), job.submitted_s
             )
             job.start_by_s = job.submitted_s + limit_s
         long_after_s = self._configuration.long_threshold_s(request.service)
@@ -271,7 +271,7 @@
         now_s: float,
     ) -> None:
         """Refuses a job that would exceed its wait limit in the queue."""
-        expected_wait_s = pool.predict_wait_s(sort_key, request, now_s)
+        expected_wait_s = pool.predict_wait_s(sort_key, request, longest_task_s, now_s)
         if expected_wait_s > pool.wait_limit_s(request, longest_task_s):
             pool.record_refused(request, longest_task_s, now_s)
             detail = (
--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -47,6 +47,7 @@
 )
 from gooseberrylink.rendezvous import choose_by_rendezvous_hash
 from gooseberrylink.resources import NO_RESOURCES, Resources
+from gooseberrylink.scheduling.share_table import ShareTable
 from gooseberrylink.settings import AgentSettings
 from gooseberrylink.slot_allocator import SlotAllocator
 from gooseberrylink.unconfirmed_starts import AnnouncedStarts
@@ -104,6 +105,7 @@
         )
         self._announced_starts = AnnouncedStarts()
         self._customer_demands = CustomerDemandTable()
+        self.shares = ShareTable()
         self._backend: BackendClient | None = None
         self._announcement: Announcement | None = None
         self._held: collections.deque[AssignmentRecord] = collections.deque()
@@ -331,6 +333,7 @@
         self.allocator.update_demand(peer.incarnation, frame, now_s)
         peer.quarantined_share = frame.quarantined_share
         self._aggregate_customer_demands(peer, frame.customer_demands_per_s, now_s)
+        self.shares.record(peer.incarnation, frame.class_counts, now_s)
         self._pass_on_lost_runs(peer, frame.lost_runs, now_s)
         if frame.unconfirmed_starts:
             for other_peer in self._peers.values():
@@ -371,14 +374,9 @@
     def _aggregate_customer_demands(
         self, peer: EntryPeer, demands: dict[str, float], now_s: float
     ) -> None:
-        for customer, demand_per_s in demands.items():
-            self._customer_demands.record(
-                customer, peer.incarnation, demand_per_s, now_s
-            )
-            total_demand_per_s = self._customer_demands.total_demand_per_s(
-                customer, now_s
-            )
-            peer.total_customer_demands_per_s[customer] = total_demand_per_s
+        totals = self._customer_demands.record_all(peer.incarnation, demands, now_s)
+        if totals:
+            peer.total_customer_demands_per_s.update(totals)
             peer.outbox.wake_sender()
 
     def _adopt_configuration(self, update: ConfigUpdate) -> None:
--- a/gooseberrylink/customer_demand_table.py
+++ b/gooseberrylink/customer_demand_table.py
@@ -20,6 +20,14 @@
         """Records the demand at one entry, in requested tasks per second."""
         self._rates.setdefault(customer, {})[entry] = (demand_per_s, now_s)
 
+    def record_all(
+        self, entry: str, demands_per_s: dict[str, float], now_s: float
+    ) -> dict[str, float]:
+        """Records the demands at one entry by customer; returns those at all."""
+        for customer, demand_per_s in demands_per_s.items():
+            self.record(customer, entry, demand_per_s, now_s)
+        return {c: self.total_demand_per_s(c, now_s) for c in demands_per_s}
+
     def total_demand_per_s(self, customer: str, now_s: float) -> float:
         """Returns the sum of the unexpired demand over all entries."""
         rates = self._rates.get(customer, {})
--- a/gooseberrylink/entry.py
+++ b/gooseberrylink/entry.py
@@ -23,6 +23,8 @@
 from gooseberrylink.peers.messages import AgentHello, EntryHello, decode_at_entry
 from gooseberrylink.platform.table_service import TableServiceClient
 from gooseberrylink.rendezvous import choose_by_rendezvous_hash
+from gooseberrylink.scheduling.share_table import to_frame
+from gooseberrylink.service_pool import ServicePool
 from gooseberrylink.settings import EntrySettings
 from gooseberrylink.types import Answer, Job, JobRequest
 
@@ -30,6 +32,8 @@
 _DRAIN_POLL_S = 0.05
 _DEMAND_REPORT_INTERVAL_S = 0.5
 _DEMAND_AGENTS_PER_CUSTOMER = 3
+# If one of them is killed, the other has all counts.
+_SHARE_AGENTS_PER_SERVICE = 2
 
 
 class Entry:
@@ -247,6 +251,8 @@
             demands = self.dispatcher.quotas.demands_near_quota(trio.current_time())
             for customer, demand_per_s in demands.items():
                 self._report_customer_demand(customer, demand_per_s)
+            for pool in self.dispatcher.pools():
+                self._report_class_counts(pool)
 
     def _report_customer_demand(self, customer: str, demand_per_s: float) -> None:
         """Sends this entry's demand to the agents that sum up the customer's demand."""
@@ -258,6 +264,16 @@
             peer.customer_demands_per_s[customer] = demand_per_s
             peer.outbox.wake_sender()
 
+    def _report_class_counts(self, pool: ServicePool) -> None:
+        """Sends what callers had to the agents that sum it up, if any had to wait."""
+        counts = to_frame(pool.sharing.counts_to_report(trio.current_time()))
+        workers = [p.worker for p in pool.peers if counts and p.can_serve]
+        for worker in choose_by_rendezvous_hash(
+            pool.service, workers, _SHARE_AGENTS_PER_SERVICE
+        ):
+            self.peers[worker].class_counts = counts
+            self.peers[worker].outbox.wake_sender()
+
     # Configuration.
 
     @property
--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -18,6 +18,7 @@
     AgentFrame,
     AgentHello,
     Assign,
+    ClassCounts,
     ConfigUpdate,
     EntryFrame,
     Host,
@@ -31,6 +32,7 @@
 from gooseberrylink.peers.outbox import Outbox
 from gooseberrylink.peers.session import Session
 from gooseberrylink.resources import NO_RESOURCES, Resources
+from gooseberrylink.scheduling.share_table import from_frame
 from gooseberrylink.types import Task
 from gooseberrylink.unconfirmed_starts import MAX_STARTS_A_FRAME
 
@@ -73,6 +75,8 @@
         advertised_demand: Units that this entry last told the agent it could use.
         customer_demands_per_s: Demand at this entry of customers close to their
             quota, in tasks per second, which the next frame reports to the agent.
+        class_counts: Jobs of this entry's callers, which the next frame reports to
+            the agent, if it sums them up.
         config_version: Configuration version in force at the agent, as last
             reported.
         capacity: Total resources of the backend server, as last reported.
@@ -99,6 +103,7 @@
         self.outbox = Outbox()
         self.advertised_demand = 0
         self.customer_demands_per_s: dict[str, float] = {}
+        self.class_counts: list[ClassCounts] = []
         self._demand_advertised_s = 0.0
         self.last_frame_s = float("-inf")
         self._session: Session | None = None
@@ -440,6 +445,10 @@
                 customer, self.worker, total_demand_per_s, self.last_frame_s
             )
         self.config_version = frame.config_version
+        if frame.class_counts:
+            self._entry.dispatcher.pool(self.service).sharing.record_others(
+                self.worker, from_frame(frame.class_counts), self.last_frame_s
+            )
         for lost_run in frame.lost_runs:
             self._entry.dispatcher.record_lost_run(lost_run, reporter=self)
         for start in frame.unconfirmed_starts:
@@ -497,6 +506,7 @@
         now_s = trio.current_time()
         precedence, due_s = pool.queue.head_priority()
         demands, self.customer_demands_per_s = self.customer_demands_per_s, {}
+        class_counts, self.class_counts = self.class_counts, []
         demand, demand_long = pool.demand_to_advertise(self, now_s)
         self.set_advertised_demand(demand + demand_long, now_s)
         lost_runs = list(self._unsent_lost_runs)
@@ -516,4 +526,5 @@
             items=items,
             lost_runs=lost_runs,
             unconfirmed_starts=unconfirmed_starts,
+            class_counts=class_counts,
         )
--- a/gooseberrylink/peers/entry_peer.py
+++ b/gooseberrylink/peers/entry_peer.py
@@ -261,4 +261,5 @@
             lost_runs=lost_runs,
             started_ids=[i for i in started_ids if agent.is_running(i)],
             unconfirmed_starts=unconfirmed_starts,
+            class_counts=agent.shares.counts_for(self.incarnation, now_s),
         )
--- a/gooseberrylink/peers/messages.py
+++ b/gooseberrylink/peers/messages.py
@@ -189,6 +189,23 @@
     left_s: float
 
 
+class ClassCounts(msgspec.Struct, array_like=True, frozen=True):
+    """Jobs of a class that callers sent lately; see scheduling/sharing.py.
+
+    Attributes:
+        data_centre: Data centre of the entry that the callers reached.
+        band: Band of the jobs' sizes.
+        requested: Tenths of jobs that were sent, decayed exponentially.
+        turned_away: Tenths of those that were refused or given up.
+    """
+
+    customer: str
+    data_centre: str
+    band: int
+    requested: int
+    turned_away: int
+
+
 class ConfigUpdate(msgspec.Struct, tag="c", array_like=True):
     """Carries an accepted configuration to a peer that has an older one.
 
@@ -221,6 +238,8 @@
             agent reports those that it did not know to its other entries.
         unconfirmed_starts: Starts of this entry that may take effect late, or no
             longer can. The agent passes them on to its other entries.
+        class_counts: Jobs that this entry's callers sent, by class, while jobs are
+            turned away. Only some agents get them, which sum them up.
     """
 
     sent_s: float
@@ -234,6 +253,7 @@
     items: list[Assign | Revoke | Ack | ConfigUpdate] = []
     lost_runs: list[LostRun] = []
     unconfirmed_starts: list[UnconfirmedStart] = []
+    class_counts: list[ClassCounts] = []
 
 
 class AgentFrame(msgspec.Struct, tag="af", array_like=True):
@@ -263,6 +283,8 @@
         started_ids: Ids of this entry's assignments that are running and whose start
             the backend server has confirmed, each once on a link.
         unconfirmed_starts: Those that other entries sent; see EntryFrame.
+        class_counts: Sums of the counts of all other entries, by class, if any has
+            reported new ones.
     """
 
     clock_s: float
@@ -284,6 +306,7 @@
     lost_runs: list[LostRun] = []
     started_ids: list[str] = []
     unconfirmed_starts: list[UnconfirmedStart] = []
+    class_counts: list[ClassCounts] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/gooseberrylink/scheduling/sharing.py
+++ b/gooseberrylink/scheduling/sharing.py
@@ -38,6 +38,8 @@
 _QUANTILE_STEP = 0.05
 # How long the totals that an agent reported are used.
 _TOTALS_VALID_S = 2.0
+# Jobs turned away lately, from which on entries report their counts.
+_MIN_TURNED_AWAY = 0.5
 
 
 def rank_of_started(rank: int) -> int:
@@ -69,6 +71,12 @@
     requested: float
     turned_away: float
 
+    def plus(self, other: "Counts") -> "Counts":
+        """Returns the sums."""
+        return Counts(
+            self.requested + other.requested, self.turned_away + other.turned_away
+        )
+
 
 class SharingPolicy(Protocol):
     """Ranks the jobs of a service at one entry.
@@ -82,6 +90,9 @@
     def rank(self, customer: str, precedence: int, longest_task_s: float) -> int:
         """Returns the rank of a new job; higher goes first."""
 
+    def must_yield(self, customer: str, longest_task_s: float) -> bool:
+        """Returns whether a job may not wait for room that others lack more."""
+
     def record_request(
         self, customer: str, longest_task_s: float, now_s: float
     ) -> None:
@@ -92,6 +103,14 @@
     ) -> None:
         """Counts a job that was refused or given up before it began."""
 
+    def counts_to_report(self, now_s: float) -> dict[JobClass, Counts]:
+        """Returns what this entry reports to agents; nothing while all are served."""
+
+    def record_others(
+        self, agent: str, counts: dict[JobClass, Counts], now_s: float
+    ) -> None:
+        """Records the sums of all other entries, as an agent reported them."""
+
 
 class NoSharing:
     """Ranks jobs by the operator's precedence alone; see SharingPolicy."""
@@ -102,6 +121,10 @@
         """See SharingPolicy."""
         return precedence
 
+    def must_yield(self, customer: str, longest_task_s: float) -> bool:
+        """See SharingPolicy; never."""
+        return False
+
     def record_request(
         self, customer: str, longest_task_s: float, now_s: float
     ) -> None:
@@ -112,6 +135,15 @@
     ) -> None:
         """See SharingPolicy; does nothing."""
 
+    def counts_to_report(self, now_s: float) -> dict[JobClass, Counts]:
+        """See SharingPolicy; nothing."""
+        return {}
+
+    def record_others(
+        self, agent: str, counts: dict[JobClass, Counts], now_s: float
+    ) -> None:
+        """See SharingPolicy; does nothing."""
+
 
 class Ledger:
     """Counts jobs by class, decayed exponentially."""
@@ -126,9 +158,7 @@
         """Adds jobs to a class."""
         self._decay(now_s)
         counts = self._counts.get(job_class, Counts(0.0, 0.0))
-        self._counts[job_class] = Counts(
-            counts.requested + requested, counts.turned_away + turned_away
-        )
+        self._counts[job_class] = counts.plus(Counts(requested, turned_away))
 
     def counts(self, now_s: float) -> dict[JobClass, Counts]:
         """Returns the counts by class."""
@@ -148,30 +178,38 @@
         }
 
 
-def classes_below_floor(counts: Mapping[JobClass, Counts]) -> set[tuple[str, ...]]:
-    """Returns the customers, bands and data centres that get less than the floor.
+class ServedShares:
+    """Shares of jobs that were not turned away.
 
-    A customer is returned as (customer,), a band as (customer, band) and a data centre
-    as ("", data centre).
+    A few jobs show little, so each share starts from that of all jobs.
+
+    Attributes:
+        whole: Share of all jobs; 1 if there was none.
     """
-    sums: dict[tuple[str, ...], Counts] = {}
-    whole = Counts(0.0, 0.0)
-    for job_class, c in counts.items():
-        whole = Counts(whole.requested + c.requested, whole.turned_away + c.turned_away)
-        for group in _groups(job_class):
-            total = sums.get(group, Counts(0.0, 0.0))
-            sums[group] = Counts(
-                total.requested + c.requested, total.turned_away + c.turned_away
-            )
-    if whole.turned_away <= 0:
-        return set()
-    served = 1 - whole.turned_away / whole.requested
-    return {
-        group
-        for group, c in sums.items()
-        if (c.requested - c.turned_away + _PRIOR_JOBS * served)
-        < _FLOOR * served * (c.requested + _PRIOR_JOBS)
-    }
+
+    def __init__(self, counts: Mapping[JobClass, Counts]):
+        sums: dict[tuple[str, ...], Counts] = {}
+        whole = Counts(0.0, 0.0)
+        for job_class, c in counts.items():
+            whole = whole.plus(c)
+            for group in _groups(job_class):
+                sums[group] = sums.get(group, Counts(0.0, 0.0)).plus(c)
+        is_any = whole.requested > 0
+        self.whole = 1 - whole.turned_away / whole.requested if is_any else 1.0
+        self._shares = {
+            group: (c.requested - c.turned_away + _PRIOR_JOBS * self.whole)
+            / (c.requested + _PRIOR_JOBS)
+            for group, c in sums.items()
+        }
+
+    def is_below_floor(self, job_class: JobClass) -> bool:
+        """Returns whether a customer, band or data centre of a job gets too little."""
+        floor = _FLOOR * self.whole
+        return any(self._shares.get(g, floor) < floor for g in _groups(job_class))
+
+    def of_customer(self, customer: str) -> float:
+        """Returns the share of a customer's jobs."""
+        return self._shares.get((customer,), self.whole)
 
 
 def _groups(job_class: JobClass) -> Iterable[tuple[str, ...]]:
@@ -232,18 +270,34 @@
         self.priorities = priorities
         self._bands = SizeBands()
         self._ledger = Ledger()
-        self._others = _Totals({}, -math.inf)
-        self._below_floor: set[tuple[str, ...]] = set()
+        self._others: dict[str, _Totals] = {}
+        self._shares = ServedShares({})
 
     def rank(self, customer: str, precedence: int, longest_task_s: float) -> int:
         """See SharingPolicy."""
         rank = MIN_SHARING_RANK + _MAX_PRIORITY
         rank -= min(_MAX_PRIORITY, self.priorities.get(customer, 0))
         job_class = self._job_class(customer, longest_task_s)
-        if not self._below_floor.isdisjoint(_groups(job_class)):
+        if self._shares.is_below_floor(job_class):
             rank = _BELOW_FLOOR_RANK
         return rank + _RANKS_A_PRECEDENCE * precedence
 
+    def must_yield(self, customer: str, longest_task_s: float) -> bool:
+        """See SharingPolicy.
+
+        A customer of a lower priority must not get a larger share than one of a higher:
+        its jobs may be able to wait for longer, until no other job waits.
+        """
+        if self._shares.is_below_floor(self._job_class(customer, longest_task_s)):
+            return False
+        priority = self.priorities.get(customer, 0)
+        share = self._shares.of_customer(customer)
+        return any(
+            self._shares.of_customer(other) < share
+            for other, other_priority in self.priorities.items()
+            if other_priority < priority
+        )
+
     def record_request(
         self, customer: str, longest_task_s: float, now_s: float
     ) -> None:
@@ -251,7 +305,7 @@
         self._bands.add(customer, longest_task_s)
         job_class = self._job_class(customer, longest_task_s)
         self._ledger.add(job_class, 1.0, 0.0, now_s)
-        self._update_floors(now_s)
+        self._update_shares(now_s)
 
     def record_turned_away(
         self, customer: str, longest_task_s: float, now_s: float
@@ -260,28 +314,41 @@
         job_class = self._job_class(customer, longest_task_s)
         self._ledger.add(job_class, 0.0, 1.0, now_s)
 
-    def own_counts(self, now_s: float) -> dict[JobClass, Counts]:
-        """Returns what this entry reports to agents."""
-        return self._ledger.counts(now_s)
+    def counts_to_report(self, now_s: float) -> dict[JobClass, Counts]:
+        """See SharingPolicy."""
+        counts = self._ledger.counts(now_s)
+        others = self._counts_of_others(now_s)
+        turned_away = sum(c.turned_away for c in (*counts.values(), *others.values()))
+        return counts if turned_away > _MIN_TURNED_AWAY else {}
+
+    def record_others(
+        self, agent: str, counts: dict[JobClass, Counts], now_s: float
+    ) -> None:
+        """See SharingPolicy."""
+        self._others[agent] = _Totals(counts, now_s)
 
-    def record_others(self, counts: dict[JobClass, Counts], now_s: float) -> None:
-        """Records the counts of all other entries, as an agent reported them."""
-        self._others = _Totals(counts, now_s)
+    def _counts_of_others(self, now_s: float) -> dict[JobClass, Counts]:
+        """Returns the sums of the agent that knows most.
+
+        An agent that has just started does not know yet what all entries reported.
+        """
+        for agent, totals in list(self._others.items()):
+            if now_s - totals.received_s > _TOTALS_VALID_S:
+                del self._others[agent]
+        known = [totals.counts for totals in self._others.values()]
+        return max(
+            known, key=lambda c: sum(n.requested for n in c.values()), default={}
+        )
 
     def _job_class(self, customer: str, longest_task_s: float) -> JobClass:
         band = self._bands.band(customer, longest_task_s)
         return JobClass(customer, self._data_centre, band)
 
-    def _update_floors(self, now_s: float) -> None:
+    def _update_shares(self, now_s: float) -> None:
         counts = self._ledger.counts(now_s)
-        if now_s - self._others.received_s < _TOTALS_VALID_S:
-            for job_class, other in self._others.counts.items():
-                own = counts.get(job_class, Counts(0.0, 0.0))
-                counts[job_class] = Counts(
-                    own.requested + other.requested,
-                    own.turned_away + other.turned_away,
-                )
-        self._below_floor = classes_below_floor(counts)
+        for job_class, other in self._counts_of_others(now_s).items():
+            counts[job_class] = counts.get(job_class, Counts(0.0, 0.0)).plus(other)
+        self._shares = ServedShares(counts)
 
 
 class WaitMargin:
--- a/gooseberrylink/service_pool.py
+++ b/gooseberrylink/service_pool.py
@@ -110,11 +110,16 @@
         return self.queue.work_before_s(sort_key) / self.parallelism()
 
     def predict_wait_s(
-        self, sort_key: tuple[int, float], request: JobRequest, now_s: float
+        self,
+        sort_key: tuple[int, float],
+        request: JobRequest,
+        longest_task_s: float,
+        now_s: float,
     ) -> float:
         """Predicts how long a job would wait for its first task to start, in seconds.
 
-        Without sharing the prediction is that of expected_wait_s().
+        Without sharing the prediction is that of expected_wait_s(). It is infinite for
+        a job that must leave the room to others.
         """
         if not self.sharing.is_active:
             return self.min_slowdown * self.expected_wait_s(sort_key)
@@ -122,6 +127,8 @@
         needed_units = max(spec.resources.units for spec in request.tasks)
         if not len(self.queue) and free_units >= needed_units:
             return 0.0
+        if self.sharing.must_yield(request.customer, longest_task_s):
+            return math.inf
         in_use = self.in_flight_count + free_units / max(1.0, self.mean_task_units)
         wait_s = self.queue.work_before_s(sort_key) / max(1.0, in_use)
         factor = self.wait_margin.factor(request.customer, now_s)
