Lets room follow the demand of entries under overload

Cause: an entry with few slots predicted long waits, refused its callers, and so advertised no demand that would have brought it slots. Its prediction now counts the slots that it is entitled to by its share of all requests; its jobs rank higher while its callers get less than the floor; agents ignore reports of jobs that have left a queue.

--- a/gooseberrylink/bench/overload.py
+++ b/gooseberrylink/bench/overload.py
@@ -156,6 +156,7 @@
                 backend=FakeBackend(worker, 0.9 if number % 2 else 1.1),
                 data_centre=f"dc-{number % 2 + 1}",
                 slow_start_tasks=8,
+                max_entries=len(self._scenario.entry_weights),
             )
         await self._deployment.wait_connected()
 
--- a/gooseberrylink/scheduling/sharing.py
+++ b/gooseberrylink/scheduling/sharing.py
@@ -20,7 +20,9 @@
 # operators can declare, which makes them recognizable at agents.
 MIN_SHARING_RANK = 10
 _MAX_PRIORITY = 9
-_BELOW_FLOOR_RANK = MIN_SHARING_RANK + _MAX_PRIORITY + 1
+# Added to the ranks of an entry whose callers get less than the floor.
+_ENTRY_BELOW_FLOOR = _MAX_PRIORITY + 1
+_BELOW_FLOOR_RANK = MIN_SHARING_RANK + 2 * _ENTRY_BELOW_FLOOR
 STARTED_RANK = _BELOW_FLOOR_RANK + 1
 # A strict precedence of the operator outweighs all ranks.
 _RANKS_A_PRECEDENCE = 100
@@ -103,6 +105,9 @@
     ) -> None:
         """Counts a job that was refused or given up before it began."""
 
+    def entry_share(self) -> float:
+        """Returns the share of all jobs that come to this entry; 0 if unknown."""
+
     def counts_to_report(self, now_s: float) -> dict[JobClass, Counts]:
         """Returns what this entry reports to agents; nothing while all are served."""
 
@@ -135,6 +140,10 @@
     ) -> None:
         """See SharingPolicy; does nothing."""
 
+    def entry_share(self) -> float:
+        """See SharingPolicy; unknown."""
+        return 0.0
+
     def counts_to_report(self, now_s: float) -> dict[JobClass, Counts]:
         """See SharingPolicy; nothing."""
         return {}
@@ -185,6 +194,7 @@
 
     Attributes:
         whole: Share of all jobs; 1 if there was none.
+        requested: Number of all jobs, decayed exponentially.
     """
 
     def __init__(self, counts: Mapping[JobClass, Counts]):
@@ -194,6 +204,7 @@
             whole = whole.plus(c)
             for group in _groups(job_class):
                 sums[group] = sums.get(group, Counts(0.0, 0.0)).plus(c)
+        self.requested = whole.requested
         is_any = whole.requested > 0
         self.whole = 1 - whole.turned_away / whole.requested if is_any else 1.0
         self._shares = {
@@ -272,12 +283,16 @@
         self._ledger = Ledger()
         self._others: dict[str, _Totals] = {}
         self._shares = ServedShares({})
+        self._is_entry_below_floor = False
+        self._entry_share = 0.0
 
     def rank(self, customer: str, precedence: int, longest_task_s: float) -> int:
         """See SharingPolicy."""
         rank = MIN_SHARING_RANK + _MAX_PRIORITY
         rank -= min(_MAX_PRIORITY, self.priorities.get(customer, 0))
         job_class = self._job_class(customer, longest_task_s)
+        if self._is_entry_below_floor:
+            rank += _ENTRY_BELOW_FLOOR
         if self._shares.is_below_floor(job_class):
             rank = _BELOW_FLOOR_RANK
         return rank + _RANKS_A_PRECEDENCE * precedence
@@ -314,6 +329,10 @@
         job_class = self._job_class(customer, longest_task_s)
         self._ledger.add(job_class, 0.0, 1.0, now_s)
 
+    def entry_share(self) -> float:
+        """See SharingPolicy."""
+        return self._entry_share
+
     def counts_to_report(self, now_s: float) -> dict[JobClass, Counts]:
         """See SharingPolicy."""
         counts = self._ledger.counts(now_s)
@@ -346,9 +365,13 @@
 
     def _update_shares(self, now_s: float) -> None:
         counts = self._ledger.counts(now_s)
-        for job_class, other in self._counts_of_others(now_s).items():
+        own = ServedShares(counts)
+        others = self._counts_of_others(now_s)
+        for job_class, other in others.items():
             counts[job_class] = counts.get(job_class, Counts(0.0, 0.0)).plus(other)
         self._shares = ServedShares(counts)
+        self._is_entry_below_floor = own.whole < _FLOOR * self._shares.whole
+        self._entry_share = own.requested / self._shares.requested if others else 0.0
 
 
 class WaitMargin:
--- a/gooseberrylink/service_pool.py
+++ b/gooseberrylink/service_pool.py
@@ -53,6 +53,10 @@
         """Returns the units (see Resources) of all agents that can serve."""
         return sum(peer.slots for peer in self.peers if peer.can_serve)
 
+    def units_in_flight(self) -> int:
+        """Returns the units that this entry's tasks use at all agents."""
+        return sum(peer.units_in_flight for peer in self.peers)
+
     def can_serve(self) -> bool:
         """Returns whether any agent with a backend server is connected."""
         return any(peer.can_serve for peer in self.peers)
@@ -129,7 +133,10 @@
             return 0.0
         if self.sharing.must_yield(request.customer, longest_task_s):
             return math.inf
-        in_use = self.in_flight_count + free_units / max(1.0, self.mean_task_units)
+        # Slots follow the demand of the entries, so the present number may be too low.
+        entitled_units = self.sharing.entry_share() * self.total_units()
+        units = max(free_units, entitled_units - self.units_in_flight())
+        in_use = self.in_flight_count + units / max(1.0, self.mean_task_units)
         wait_s = self.queue.work_before_s(sort_key) / max(1.0, in_use)
         factor = self.wait_margin.factor(request.customer, now_s)
         return self.min_slowdown * factor * wait_s
--- a/gooseberrylink/slot_allocator.py
+++ b/gooseberrylink/slot_allocator.py
@@ -5,10 +5,13 @@
 
 from gooseberrylink.peers.messages import EntryFrame
 from gooseberrylink.resources import NO_RESOURCES, Resources
+from gooseberrylink.scheduling.sharing import MIN_SHARING_RANK
 
 _MAX_SHORT_RESERVE_TASKS = 3
 _SHORT_AVERAGE_WINDOW_S = 2.0
 _DUE_SOON_S = 0.5
+# The margin for a grant where ranks of sharing decide; see AgentSettings.
+_RANKED_GRANT_MARGIN_S = 0.1
 
 
 @dataclasses.dataclass(slots=True)
@@ -265,7 +268,9 @@
 
     def _find_more_urgent_entry(self, owner: str, now_s: float) -> str | None:
         best, best_urgency = None, self._urgency_key(owner, now_s)
-        if math.isfinite(best_urgency[1]):
+        if _is_ranked(best_urgency):
+            best_urgency = best_urgency[0], best_urgency[1] - _RANKED_GRANT_MARGIN_S
+        elif math.isfinite(best_urgency[1]):
             # The owner has a queue, too. An additional message is justified only
             # for a task that would be late without it.
             due_limit_s = (
@@ -277,6 +282,9 @@
             if name == owner or not (account.demand > 0 or wants_long):
                 continue
             urgency = self._urgency_key(name, now_s)
+            if _is_ranked(urgency) and now_s > urgency[1]:
+                # The job has begun elsewhere or was given up.
+                continue
             if urgency < best_urgency:
                 best, best_urgency = name, urgency
         return best
@@ -312,3 +320,7 @@
         short = self.used_units - self.used_units_long
         self._short_units_average += weight * (short - self._short_units_average)
         self._short_average_updated_s = now_s
+
+
+def _is_ranked(urgency: tuple[int, float]) -> bool:
+    return -urgency[0] >= MIN_SHARING_RANK
