Keeps reports of demand whose job has left the queue

Cause: entries with few slots exchange few frames, so their reports are older than their callers wait, and agents that ignored these gave them no slots.

--- a/gooseberrylink/slot_allocator.py
+++ b/gooseberrylink/slot_allocator.py
@@ -282,9 +282,6 @@
             if name == owner or not (account.demand > 0 or wants_long):
                 continue
             urgency = self._urgency_key(name, now_s)
-            if _is_ranked(urgency) and now_s > urgency[1]:
-                # The job has begun elsewhere or was given up.
-                continue
             if urgency < best_urgency:
                 best, best_urgency = name, urgency
         return best
