Predicts waits with the slots an entry is entitled to; spreads Retry-After

Cause: a job that found an empty queue and no free slot was predicted no wait; all who were turned away together were told to return after the same second.

--- a/gooseberrylink/admission.py
+++ b/gooseberrylink/admission.py
@@ -1,5 +1,7 @@
 """Decides whether a job is admitted, and creates its tasks."""
 
+import math
+
 from gooseberrylink.codes import Code
 from gooseberrylink.exceptions import RefusedError
 from gooseberrylink.operators.configuration import Configuration
@@ -145,6 +147,7 @@
             is_long = self._run_times.is_long(
                 request.customer, request.service, spec.declared_s, long_after_s
             )
+            pool.record_task_time(expected_s[index])
             task_id = f"{job.job_id}-{index}"
             job.tasks.append(
                 Task(task_id, job, index, spec, expected_s[index], sort_key, is_long)
@@ -274,8 +277,12 @@
         expected_wait_s = pool.predict_wait_s(sort_key, request, longest_task_s, now_s)
         if expected_wait_s > pool.wait_limit_s(request, longest_task_s):
             pool.record_refused(request, longest_task_s, now_s)
+            if math.isinf(expected_wait_s):
+                expected = "customers of a higher priority lack room"
+            else:
+                expected = f"the first task would wait about {expected_wait_s:.2f} s"
             detail = (
-                f"the first task would wait about {expected_wait_s:.2f} s,"
+                f"{expected},"
                 f" too long for a latency target of {request.latency_target.stretch:g}"
                 " times the run time plus"
                 f" {request.latency_target.latency_s:g} s and a deadline of"
@@ -284,6 +291,8 @@
             retry_after_s = min(
                 _MAX_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, 2 * expected_wait_s)
             )
+            if pool.sharing.is_active:
+                retry_after_s = pool.retry_after_s()
             raise RefusedError(Code.OVERLOADED, detail, retry_after_s)
 
     def _predict_run_times_s(self, request: JobRequest) -> list[float]:
--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -912,13 +912,14 @@
         return not (can_wait and self._can_end_in_time(task, now_s))
 
     def _give_up(self, job: Job) -> None:
+        retry_after_s = self.pool(job.request.service).retry_after_s()
         self._withdraw_tasks(job)
         self._metrics.add("jobs_given_up")
         detail = (
             f"no worker of service {job.request.service} had free capacity soon enough;"
             f" the deadline of the job was {job.request.deadline_s:g} s"
         )
-        self._fail(job, Answer(Code.EXPIRED_NOT_RUN, detail, retry_after_s=1.0))
+        self._fail(job, Answer(Code.EXPIRED_NOT_RUN, detail, None, retry_after_s))
 
     def _requeue(self, task: Task) -> None:
         self._push_or_await_crash_reports(task)
--- a/gooseberrylink/service_pool.py
+++ b/gooseberrylink/service_pool.py
@@ -17,6 +17,9 @@
 _UNITS_LEARNING_RATE = 0.05
 # Without a latency target a job is due at this multiple of its expected duration.
 _DUE_STRETCH = 4.0
+_MIN_RETRY_AFTER_S = 1.0
+_MAX_RETRY_AFTER_S = 30.0
+_GOLDEN_RATIO = 0.618034
 
 
 class ServicePool:
@@ -30,6 +33,8 @@
         queue_nonempty_since_s: Time of the first check that found the queue not
             empty; None while it is empty.
         mean_task_units: Moving average of the units (see Resources) that a task uses.
+        mean_task_s: Moving average of the expected run time of the admitted tasks, in
+            seconds (slowdown 1).
         min_slowdown: Run time divided by expected run time on the fastest workers.
         sharing: Ranks the jobs when demand exceeds the room.
         wait_margin: Corrects the predicted waits where sharing is active.
@@ -42,7 +47,9 @@
         self.in_flight_count = 0
         self.queue_nonempty_since_s: float | None = None
         self.mean_task_units = 0.0
+        self.mean_task_s = 0.0
         self.min_slowdown = 1.0
+        self._retry_spread = 0.0
         self.sharing: SharingPolicy = NoSharing()
         self.wait_margin = WaitMargin()
         self.queue.on_turned_away = self._record_given_up
@@ -53,10 +60,6 @@
         """Returns the units (see Resources) of all agents that can serve."""
         return sum(peer.slots for peer in self.peers if peer.can_serve)
 
-    def units_in_flight(self) -> int:
-        """Returns the units that this entry's tasks use at all agents."""
-        return sum(peer.units_in_flight for peer in self.peers)
-
     def can_serve(self) -> bool:
         """Returns whether any agent with a backend server is connected."""
         return any(peer.can_serve for peer in self.peers)
@@ -79,6 +82,11 @@
         rate = _UNITS_LEARNING_RATE if self.mean_task_units else 1.0
         self.mean_task_units += rate * (units - self.mean_task_units)
 
+    def record_task_time(self, expected_s: float) -> None:
+        """Updates the average expected run time with one task."""
+        rate = _UNITS_LEARNING_RATE if self.mean_task_s else 1.0
+        self.mean_task_s += rate * (expected_s - self.mean_task_s)
+
     def parallelism(self) -> float:
         """Estimates how many tasks of this entry run at once under load.
 
@@ -127,19 +135,47 @@
         """
         if not self.sharing.is_active:
             return self.min_slowdown * self.expected_wait_s(sort_key)
-        free_units = sum(max(0, peer.free_units) for peer in self.peers)
-        needed_units = max(spec.resources.units for spec in request.tasks)
-        if not len(self.queue) and free_units >= needed_units:
+        if not len(self.queue) and self._has_room_for(request):
             return 0.0
         if self.sharing.must_yield(request.customer, longest_task_s):
             return math.inf
-        # Slots follow the demand of the entries, so the present number may be too low.
-        entitled_units = self.sharing.entry_share() * self.total_units()
-        units = max(free_units, entitled_units - self.units_in_flight())
-        in_use = self.in_flight_count + units / max(1.0, self.mean_task_units)
-        wait_s = self.queue.work_before_s(sort_key) / max(1.0, in_use)
+        # The first slot that is freed after those for the tasks before the job.
+        work_s = self.queue.work_before_s(sort_key) + self.mean_task_s
         factor = self.wait_margin.factor(request.customer, now_s)
-        return self.min_slowdown * factor * wait_s
+        return self.min_slowdown * factor * work_s / self._entitled_parallelism()
+
+    def _has_room_for(self, request: JobRequest) -> bool:
+        units = max(spec.resources.units for spec in request.tasks)
+        return any(peer.free_units >= units for peer in self.peers)
+
+    def _entitled_parallelism(self) -> float:
+        """Estimates how many tasks of this entry run at once once slots have moved.
+
+        Slots follow the demand of the entries. An entry that counts only the slots
+        that it uses now refuses jobs, and so advertises no demand for more.
+        """
+        free_units = sum(max(0, peer.free_units) for peer in self.peers)
+        used_units = sum(peer.units_in_flight for peer in self.peers)
+        entitled_units = self.sharing.entry_share() * self.total_units()
+        more_units = max(free_units, entitled_units - used_units)
+        tasks = self.in_flight_count + more_units / max(1.0, self.mean_task_units)
+        return max(1.0, tasks)
+
+    def retry_after_s(self) -> float:
+        """Returns when a caller that was turned away for lack of room may try again.
+
+        By then the queue is worked off twice. Callers are spread over as long again,
+        so that those who were turned away together don't return together.
+        """
+        if not self.sharing.is_active:
+            return _MIN_RETRY_AFTER_S
+        backlog_s = 2 * self.queue.work_s / self._entitled_parallelism()
+        # Consecutive multiples of the golden ratio are spread evenly over the interval.
+        self._retry_spread = (self._retry_spread + _GOLDEN_RATIO) % 1.0
+        return min(
+            _MAX_RETRY_AFTER_S,
+            max(_MIN_RETRY_AFTER_S, backlog_s) * (1.0 + self._retry_spread),
+        )
 
     def wait_limit_s(self, request: JobRequest, longest_task_s: float) -> float:
         """Returns how long a job may wait for its first task to start, in seconds."""
