Limits waits by the pressure, so that few are turned away below the capacity

Cause: margin and limit of a quarter turned away jobs near the capacity that would have been on time; a data centre below its floor levelled the priorities of its entries.

--- a/gooseberrylink/admission.py
+++ b/gooseberrylink/admission.py
@@ -7,9 +7,11 @@
 from gooseberrylink.operators.configuration import Configuration
 from gooseberrylink.operators.declarations import Customer, Service
 from gooseberrylink.quotas import Quotas
+from gooseberrylink.routing import RoutingPolicy
 from gooseberrylink.run_times import RunTimeModel
 from gooseberrylink.scheduling.sharing import make_sharing
 from gooseberrylink.service_pool import ServicePool
+from gooseberrylink.settings import EntrySettings
 from gooseberrylink.types import Job, JobRequest, Task
 
 # A job is refused if it is expected to complete after this share of its deadline. More
@@ -39,8 +41,8 @@
         configuration: Configuration,
         quotas: Quotas,
         run_times: RunTimeModel,
-        is_deadline_aware: bool,
-        data_centre: str,
+        policy: RoutingPolicy,
+        settings: EntrySettings,
     ):
         """Creates the admission control of an entry.
 
@@ -48,15 +50,15 @@
             configuration: Declares customers, services and limits.
             quotas: The customers' token buckets at this entry.
             run_times: Predicts the run times of tasks.
-            is_deadline_aware: See RoutingPolicy. If False, jobs are not refused
-                for the time that they are expected to take or to wait.
-            data_centre: Data centre of the entry.
+            policy: How tasks are assigned. If it is not deadline-aware, jobs are not
+                refused for the time that they are expected to take or to wait.
+            settings: Settings of the entry.
         """
         self._configuration = configuration
         self._quotas = quotas
         self._run_times = run_times
-        self._is_deadline_aware = is_deadline_aware
-        self._data_centre = data_centre
+        self._is_deadline_aware = policy.is_deadline_aware
+        self._data_centre = settings.data_centre
         self.startup_grace_ends_s = 0.0
 
     def check(
--- a/gooseberrylink/bench/overload.py
+++ b/gooseberrylink/bench/overload.py
@@ -63,6 +63,7 @@
             declare none, and nothing decides which customer has to wait.
         entry_weights: Share of the jobs that each entry gets.
         load_steps: Demand as a share of the capacity, and seconds that it lasts.
+        speeds: Speeds of the workers in turn, relative to a typical one.
         fault: Runs beside the load, for example to kill an entry.
     """
 
@@ -70,6 +71,7 @@
     entry_weights: tuple[float, ...] = (0.4, 0.25, 0.2, 0.15)
     load_steps: tuple[tuple[float, float], ...] = ((0.7, 3.0), (1.4, 8.0), (0.7, 2.0))
     workers: int = 24
+    speeds: tuple[float, ...] = (1.1, 0.9)
     seed: int = 1
     fault: Callable[[Deployment], Awaitable[None]] | None = None
 
@@ -149,11 +151,12 @@
                 f"entry-{number}", data_centre=f"dc-{number % 2 + 1}"
             )
             self._record_admissions(entry)
+        speeds = self._scenario.speeds
         for number in range(self._scenario.workers):
             worker = f"w-{number}"
             await self._deployment.add_agent(
                 worker,
-                backend=FakeBackend(worker, 0.9 if number % 2 else 1.1),
+                backend=FakeBackend(worker, speeds[number % len(speeds)]),
                 data_centre=f"dc-{number % 2 + 1}",
                 slow_start_tasks=8,
                 max_entries=len(self._scenario.entry_weights),
--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -100,11 +100,7 @@
         self._retry_budget = RetryBudget(settings.retry_share, _MAX_RETRY_BUDGET)
         self._policy = make_policy(settings, random.Random(seed), self.run_times)
         self._admission = Admission(
-            configuration,
-            self.quotas,
-            self.run_times,
-            self._policy.is_deadline_aware,
-            settings.data_centre,
+            configuration, self.quotas, self.run_times, self._policy, settings
         )
         # For each agent whose link closed while it had tasks of this entry: the time
         # from which none that has started can be running, as all leases have expired.
--- a/gooseberrylink/entry.py
+++ b/gooseberrylink/entry.py
@@ -265,7 +265,17 @@
             peer.outbox.wake_sender()
 
     def _report_class_counts(self, pool: ServicePool) -> None:
-        """Sends what callers had to the agents that sum it up, if any had to wait."""
+        """Reports what callers had to the agents that sum it up."""
+        pressure = pool.sharing.pressure()
+        self.metrics.set_gauge("sharing_pressure", pressure)
+        if pressure:
+            log_event(
+                "room_short",
+                service=pool.service,
+                pressure=pressure,
+                queued=len(pool.queue),
+                entry_share=pool.sharing.entry_share(),
+            )
         counts = to_frame(pool.sharing.counts_to_report(trio.current_time()))
         workers = [p.worker for p in pool.peers if counts and p.can_serve]
         for worker in choose_by_rendezvous_hash(
--- a/gooseberrylink/scheduling/sharing.py
+++ b/gooseberrylink/scheduling/sharing.py
@@ -13,14 +13,15 @@
 import collections
 import dataclasses
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from typing import NamedTuple, Protocol
 
 # Sort ranks. A higher rank goes first. Ranks of sharing are above all precedences that
 # operators can declare, which makes them recognizable at agents.
 MIN_SHARING_RANK = 10
 _MAX_PRIORITY = 9
-# Added to the ranks of an entry whose callers get less than the floor.
+# Added to the ranks of an entry if its callers, or all callers of its data centre, get
+# less than the floor.
 _ENTRY_BELOW_FLOOR = _MAX_PRIORITY + 1
 _BELOW_FLOOR_RANK = MIN_SHARING_RANK + 2 * _ENTRY_BELOW_FLOOR
 STARTED_RANK = _BELOW_FLOOR_RANK + 1
@@ -30,6 +31,14 @@
 # Least share of its jobs that a class gets, relative to that of all jobs.
 _FLOOR = 0.9
 _HALF_LIFE_S = 3.0
+# Share of all jobs above which a job waits for as long as it can be on time, and share
+# below which callers are told early. While few are turned away, early refusals turn
+# away jobs that would have been on time.
+_PATIENT_ABOVE = 0.95
+_STRICT_BELOW = 0.85
+# By how much the share of a lower priority may exceed that of a higher one. Less would
+# turn jobs away while nearly all are served.
+_MAX_LEAD = 0.05
 # A class counts as served like all jobs until it has sent about this many.
 _PRIOR_JOBS = 2.0
 # Counts below this are forgotten.
@@ -37,7 +46,7 @@
 # Upper limits of all bands of sizes but the last, as shares of a customer's jobs: the
 # largest tenth is a band, and the fifth below it.
 _BAND_QUANTILES = (0.7, 0.9)
-_QUANTILE_STEP = 0.05
+_QUANTILE_STEP = 0.04
 # How long the totals that an agent reported are used.
 _TOTALS_VALID_S = 2.0
 # Jobs turned away lately, from which on entries report their counts.
@@ -105,6 +114,9 @@
     ) -> None:
         """Counts a job that was refused or given up before it began."""
 
+    def pressure(self) -> float:
+        """Returns how strictly waits are limited: 0 without overload, at most 1."""
+
     def entry_share(self) -> float:
         """Returns the share of all jobs that come to this entry; 0 if unknown."""
 
@@ -140,6 +152,10 @@
     ) -> None:
         """See SharingPolicy; does nothing."""
 
+    def pressure(self) -> float:
+        """See SharingPolicy; 0."""
+        return 0.0
+
     def entry_share(self) -> float:
         """See SharingPolicy; unknown."""
         return 0.0
@@ -214,16 +230,25 @@
         }
 
     def is_below_floor(self, job_class: JobClass) -> bool:
-        """Returns whether a customer, band or data centre of a job gets too little."""
+        """Returns whether the customer or the band of a job gets too little."""
+        customer, band, _ = _groups(job_class)
+        return self._is_group_below_floor(customer) or self._is_group_below_floor(band)
+
+    def is_data_centre_below_floor(self, data_centre: str) -> bool:
+        """Returns whether the callers of a data centre get too little."""
+        return self._is_group_below_floor(("", data_centre))
+
+    def _is_group_below_floor(self, group: tuple[str, ...]) -> bool:
         floor = _FLOOR * self.whole
-        return any(self._shares.get(g, floor) < floor for g in _groups(job_class))
+        return self._shares.get(group, floor) < floor
 
     def of_customer(self, customer: str) -> float:
         """Returns the share of a customer's jobs."""
         return self._shares.get((customer,), self.whole)
 
 
-def _groups(job_class: JobClass) -> Iterable[tuple[str, ...]]:
+def _groups(job_class: JobClass) -> tuple[tuple[str, ...], ...]:
+    """Returns the customer, the band and the data centre of a class as keys."""
     return (
         (job_class.customer,),
         (job_class.customer, str(job_class.band)),
@@ -308,7 +333,7 @@
         priority = self.priorities.get(customer, 0)
         share = self._shares.of_customer(customer)
         return any(
-            self._shares.of_customer(other) < share
+            self._shares.of_customer(other) < share - _MAX_LEAD
             for other, other_priority in self.priorities.items()
             if other_priority < priority
         )
@@ -329,6 +354,13 @@
         job_class = self._job_class(customer, longest_task_s)
         self._ledger.add(job_class, 0.0, 1.0, now_s)
 
+    def pressure(self) -> float:
+        """See SharingPolicy."""
+        missing = (_PATIENT_ABOVE - self._shares.whole) / (
+            _PATIENT_ABOVE - _STRICT_BELOW
+        )
+        return min(1.0, max(0.0, missing))
+
     def entry_share(self) -> float:
         """See SharingPolicy."""
         return self._entry_share
@@ -370,7 +402,10 @@
         for job_class, other in others.items():
             counts[job_class] = counts.get(job_class, Counts(0.0, 0.0)).plus(other)
         self._shares = ServedShares(counts)
-        self._is_entry_below_floor = own.whole < _FLOOR * self._shares.whole
+        self._is_entry_below_floor = (
+            own.whole < _FLOOR * self._shares.whole
+            or self._shares.is_data_centre_below_floor(self._data_centre)
+        )
         self._entry_share = own.requested / self._shares.requested if others else 0.0
 
 
@@ -382,9 +417,9 @@
     refusal on submission lowers it. Without either the margin returns to 1.
     """
 
-    _STEP = 0.02
-    _LIMITS = (math.log(0.5), math.log(8.0))
-    _HALF_LIFE_S = 5.0
+    _STEP = 0.04
+    _LIMITS = (math.log(0.5), math.log(30.0))
+    _HALF_LIFE_S = 30.0
 
     def __init__(self):
         self._log_margins: dict[str, tuple[float, float]] = {}
--- a/gooseberrylink/service_pool.py
+++ b/gooseberrylink/service_pool.py
@@ -142,6 +142,7 @@
         # The first slot that is freed after those for the tasks before the job.
         work_s = self.queue.work_before_s(sort_key) + self.mean_task_s
         factor = self.wait_margin.factor(request.customer, now_s)
+        factor **= self.sharing.pressure()
         return self.min_slowdown * factor * work_s / self._entitled_parallelism()
 
     def _has_room_for(self, request: JobRequest) -> bool:
@@ -179,8 +180,9 @@
 
     def wait_limit_s(self, request: JobRequest, longest_task_s: float) -> float:
         """Returns how long a job may wait for its first task to start, in seconds."""
-        limit_s = early_wait_limit_s if self.sharing.is_active else wait_limit_s
-        return limit_s(request, longest_task_s, self.min_slowdown)
+        limit_s = wait_limit_s(request, longest_task_s, self.min_slowdown)
+        early_s = early_wait_limit_s(request, longest_task_s, self.min_slowdown)
+        return limit_s - self.sharing.pressure() * (limit_s - early_s)
 
     def record_refused(
         self, request: JobRequest, longest_task_s: float, now_s: float
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -46,6 +46,7 @@
             "maxAttempts": 2,
             "stretch": 1.6,
             "targetLatencyMs": 60,
+            "priority": 3,
         },
         {"name": "r-2", "host": "shop.example", "pathPrefix": "/a/b/", "service": "s"},
     ],
@@ -126,6 +127,7 @@
         assert (queue.name, queue.path_prefix) == ("r-2", "/a/b/")
         assert receiver.configuration.queue("shop.example", "/a/1").max_failures == 2
         assert receiver.configuration.queue("shop.example", "/c/1") is None
+        assert receiver.configuration.priorities("s") == {"r-1": 3, "r-2": 0}
         fake_store.put("op", "config", b"no json")
         fake_store.put("op", "config", json.dumps(STATE | {"version": 9}).encode())
         await wait_for_version(receiver, 9)
