--- a/gooseberrylink/agent.py
+++ b/gooseberrylink/agent.py
@@ -46,6 +46,7 @@
 )
 from gooseberrylink.resources import NO_RESOURCES, Resources
 from gooseberrylink.scheduling.evacuation import RETURN_SLOW_START_TASKS, Evacuations
+from gooseberrylink.scheduling.share_table import ShareTable
 from gooseberrylink.settings import AgentSettings
 from gooseberrylink.slot_allocator import SlotAllocator
 from gooseberrylink.unconfirmed_starts import AnnouncedStarts
@@ -106,6 +107,7 @@
         )
         self._announced_starts = AnnouncedStarts()
         self._customer_demands = CustomerDemandTable()
+        self.shares = ShareTable()
         self._backend: BackendClient | None = None
         self._announcement: Announcement | None = None
         self._held: collections.deque[AssignmentRecord] = collections.deque()
@@ -332,6 +334,7 @@
         self.allocator.update_demand(peer.incarnation, frame, now_s)
         peer.quarantined_share = frame.quarantined_share
         self._customer_demands.aggregate(peer, frame.customer_demands_per_s, now_s)
+        self.shares.record(peer.incarnation, frame.class_counts, now_s)
         self._pass_on_lost_runs(peer, frame.lost_runs, now_s)
         if frame.unconfirmed_starts:
             for other_peer in self._peers.values():
--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -103,7 +103,7 @@
         self._retry_budget = RetryBudget(settings.retry_share, _MAX_RETRY_BUDGET)
         self._policy = make_policy(settings, random.Random(seed), self.run_times)
         self._admission = Admission(
-            configuration, self.quotas, self.run_times, self._policy.is_deadline_aware
+            configuration, self.quotas, self.run_times, self._policy, settings
         )
         # For each agent whose link closed while it had tasks of this entry: the time
         # from which none that has started can be running, as all leases have expired.
@@ -848,13 +848,10 @@
             Whether it did either.
         """
         now_s = trio.current_time()
-        candidates = pool.queue.peek_many(False, _SCAN_DEPTH)
-        candidates += pool.queue.peek_many(True, _SCAN_DEPTH)
-        candidates += pool.queue.peek_suspects(_SCAN_DEPTH)
         # What the short (False) and long (True) tasks need that no worker could take.
         # Tasks that need at least as much are not tried.
         unplaced: dict[bool, list[Resources]] = {False: [], True: []}
-        for task in sorted(candidates, key=lambda head: head.sort_key):
+        for task in pool.queue.candidates(_SCAN_DEPTH, now_s):
             needs = task.spec.resources
             may_fit = not any(needs.covers(other) for other in unplaced[task.is_long])
             if may_fit and self._can_end_in_time(task, now_s):
@@ -941,13 +938,14 @@
         return not (can_wait and self._can_end_in_time(task, now_s))
 
     def _give_up(self, job: Job) -> None:
+        retry_after_s = self.pool(job.request.service).retry_after_s()
         self._withdraw_tasks(job)
         self._metrics.add("jobs_given_up")
         detail = (
             f"no worker of service {job.request.service} had free capacity soon enough;"
             f" the deadline of the job was {job.request.deadline_s:g} s"
         )
-        self._fail(job, Answer(Code.EXPIRED_NOT_RUN, detail, retry_after_s=1.0))
+        self._fail(job, Answer(Code.EXPIRED_NOT_RUN, detail, None, retry_after_s))
 
     def _requeue(self, task: Task) -> None:
         self._push_or_await_crash_reports(task)
--- a/gooseberrylink/peers/entry_peer.py
+++ b/gooseberrylink/peers/entry_peer.py
@@ -289,4 +289,5 @@
             started_ids=[i for i in started_ids if agent.is_running(i)],
             unconfirmed_starts=unconfirmed_starts,
             evacuations=self._evacuation_link.take_updates(),
+            class_counts=agent.shares.counts_for(self.incarnation, now_s),
         )
--- a/gooseberrylink/peers/messages.py
+++ b/gooseberrylink/peers/messages.py
@@ -205,6 +205,23 @@
     data_centres: frozenset[str]
 
 
+class ClassCounts(msgspec.Struct, array_like=True, frozen=True):
+    """Jobs of a class that callers sent lately; see scheduling/sharing.py.
+
+    Attributes:
+        data_centre: Data centre of the entry that the callers reached.
+        band: Band of the jobs' sizes.
+        requested: Tenths of jobs that were sent, decayed exponentially.
+        turned_away: Tenths of those that were refused or given up.
+    """
+
+    customer: str
+    data_centre: str
+    band: int
+    requested: int
+    turned_away: int
+
+
 class ConfigUpdate(msgspec.Struct, tag="c", array_like=True):
     """Carries an accepted configuration to a peer that has an older one.
 
@@ -239,6 +256,8 @@
             longer can. The agent passes them on to its other entries.
         evacuations: States that the agent may not know; it then handles them before
             the items.
+        class_counts: Jobs that this entry's callers sent, by class, while jobs are
+            turned away. Only some agents get them, which sum them up.
     """
 
     sent_s: float
@@ -253,6 +272,7 @@
     lost_runs: list[LostRun] = []
     unconfirmed_starts: list[UnconfirmedStart] = []
     evacuations: list[EvacuationState] = []
+    class_counts: list[ClassCounts] = []
 
 
 class AgentFrame(msgspec.Struct, tag="af", array_like=True):
@@ -283,6 +303,8 @@
             the backend server has confirmed, each once on a link.
         unconfirmed_starts: Those that other entries sent; see EntryFrame.
         evacuations: States that the entry may not know.
+        class_counts: Sums of the counts of all other entries, by class, if any has
+            reported new ones.
     """
 
     clock_s: float
@@ -305,6 +327,7 @@
     started_ids: list[str] = []
     unconfirmed_starts: list[UnconfirmedStart] = []
     evacuations: list[EvacuationState] = []
+    class_counts: list[ClassCounts] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/gooseberrylink/service_pool.py
+++ b/gooseberrylink/service_pool.py
@@ -7,9 +7,10 @@
 from gooseberrylink.peers.agent_peer import AgentPeer
 from gooseberrylink.resources import Resources
 from gooseberrylink.scheduling.evacuation import find_jobs_without_room
+from gooseberrylink.scheduling.sharing import NoSharing, SharingPolicy, WaitMargin
 from gooseberrylink.task_queue import TaskQueue
-from gooseberrylink.types import Job
-from gooseberrylink.wait_limits import wait_limit_s
+from gooseberrylink.types import Job, JobRequest
+from gooseberrylink.wait_limits import early_wait_limit_s, wait_limit_s
 
 _MAX_ADVERTISED_TASKS_PER_AGENT = 2
 # Maximum number of agents to which frames are sent only to advertise demand. Until the
@@ -18,6 +19,9 @@
 _UNITS_LEARNING_RATE = 0.05
 # Without a latency target a job is due at this multiple of its expected duration.
 _DUE_STRETCH = 4.0
+_MIN_RETRY_AFTER_S = 1.0
+_MAX_RETRY_AFTER_S = 30.0
+_GOLDEN_RATIO = 0.618034
 
 
 class ServicePool:
@@ -31,7 +35,11 @@
         queue_nonempty_since_s: Time of the first check that found the queue not
             empty; None while it is empty.
         mean_task_units: Moving average of the units (see Resources) that a task uses.
+        mean_task_s: Moving average of the expected run time of the admitted tasks, in
+            seconds (slowdown 1).
         min_slowdown: Run time divided by expected run time on the fastest workers.
+        sharing: Ranks the jobs when demand exceeds the room.
+        wait_margin: Corrects the predicted waits where sharing is active.
     """
 
     def __init__(self, service: str):
@@ -41,7 +49,12 @@
         self.in_flight_count = 0
         self.queue_nonempty_since_s: float | None = None
         self.mean_task_units = 0.0
+        self.mean_task_s = 0.0
         self.min_slowdown = 1.0
+        self._retry_spread = 0.0
+        self.sharing: SharingPolicy = NoSharing()
+        self.wait_margin = WaitMargin()
+        self.queue.on_turned_away = self._record_given_up
         self._virtual_finish_s: dict[str, float] = {}
         self._weights: dict[str, float] = {}
 
@@ -51,6 +64,8 @@
         pool.peers = [peer.copy_for_trial() for peer in self.peers]
         pool._virtual_finish_s = dict(self._virtual_finish_s)
         pool._weights = dict(self._weights)
+        pool.sharing = copy.deepcopy(self.sharing)
+        pool.wait_margin = copy.deepcopy(self.wait_margin)
         return pool
 
     def total_units(self) -> int:
@@ -100,6 +115,11 @@
         rate = _UNITS_LEARNING_RATE if self.mean_task_units else 1.0
         self.mean_task_units += rate * (units - self.mean_task_units)
 
+    def record_task_time(self, expected_s: float) -> None:
+        """Updates the average expected run time with one task."""
+        rate = _UNITS_LEARNING_RATE if self.mean_task_s else 1.0
+        self.mean_task_s += rate * (expected_s - self.mean_task_s)
+
     def parallelism(self) -> float:
         """Estimates how many tasks of this entry run at once under load.
 
@@ -139,23 +159,98 @@
             return total_s
         return self.queue.work_before_s(sort_key) / self.parallelism()
 
+    def predict_wait_s(
+        self,
+        sort_key: tuple[int, float],
+        request: JobRequest,
+        longest_task_s: float,
+        now_s: float,
+    ) -> float:
+        """Predicts how long a job would wait for its first task to start, in seconds.
+
+        Without sharing the prediction is that of expected_wait_s(). It is infinite for
+        a job that must leave the room to others.
+        """
+        if not self.sharing.is_active:
+            return self.min_slowdown * self.expected_wait_s(sort_key)
+        if not len(self.queue) and self._has_room_for(request):
+            return 0.0
+        if self.sharing.must_yield(request.customer, longest_task_s):
+            return math.inf
+        # The first slot that is freed after those for the tasks before the job.
+        work_s = self.queue.work_before_s(sort_key) + self.mean_task_s
+        factor = self.wait_margin.factor(request.customer, now_s)
+        factor **= self.sharing.pressure()
+        return self.min_slowdown * factor * work_s / self._entitled_parallelism()
+
+    def _has_room_for(self, request: JobRequest) -> bool:
+        units = max(spec.resources.units for spec in request.tasks)
+        return any(peer.free_units >= units for peer in self.peers)
+
+    def _entitled_parallelism(self) -> float:
+        """Estimates how many tasks of this entry run at once once slots have moved.
+
+        Slots follow the demand of the entries. An entry that counts only the slots
+        that it uses now refuses jobs, and so advertises no demand for more.
+        """
+        free_units = sum(max(0, peer.free_units) for peer in self.peers)
+        used_units = sum(peer.units_in_flight for peer in self.peers)
+        entitled_units = self.sharing.entry_share() * self.total_units()
+        more_units = max(free_units, entitled_units - used_units)
+        tasks = self.in_flight_count + more_units / max(1.0, self.mean_task_units)
+        return max(1.0, tasks)
+
+    def retry_after_s(self) -> float:
+        """Returns when a caller that was turned away for lack of room may try again.
+
+        By then the queue is worked off twice. Callers are spread over as long again,
+        so that those who were turned away together don't return together.
+        """
+        if not self.sharing.is_active:
+            return _MIN_RETRY_AFTER_S
+        backlog_s = 2 * self.queue.work_s / self._entitled_parallelism()
+        # Consecutive multiples of the golden ratio are spread evenly over the interval.
+        self._retry_spread = (self._retry_spread + _GOLDEN_RATIO) % 1.0
+        return min(
+            _MAX_RETRY_AFTER_S,
+            max(_MIN_RETRY_AFTER_S, backlog_s) * (1.0 + self._retry_spread),
+        )
+
+    def wait_limit_s(self, request: JobRequest, longest_task_s: float) -> float:
+        """Returns how long a job may wait for its first task to start, in seconds."""
+        limit_s = wait_limit_s(request, longest_task_s, self.min_slowdown)
+        early_s = early_wait_limit_s(request, longest_task_s, self.min_slowdown)
+        return limit_s - self.sharing.pressure() * (limit_s - early_s)
+
+    def record_refused(
+        self, request: JobRequest, longest_task_s: float, now_s: float
+    ) -> None:
+        """Counts a job that was refused on submission for its predicted wait."""
+        self.sharing.record_turned_away(request.customer, longest_task_s, now_s)
+        self.wait_margin.record_refused(request.customer, now_s)
+
+    def _record_given_up(self, job: Job) -> None:
+        customer, now_s = job.request.customer, job.submitted_s
+        self.sharing.record_turned_away(customer, job.longest_task_s, now_s)
+        self.wait_margin.record_given_up(customer, now_s)
+
     def sort_key(
         self, job: Job, customer: Customer, work_s: float, longest_task_s: float
     ) -> tuple[int, float]:
         """Returns the sort key in the queue for all tasks of a job.
 
-        The key is the negated precedence of the customer and the time at which
-        the job is due. Each job is due at a multiple of its expected duration, so
-        short jobs go first, and a long one can be overtaken for a bounded time only.
-        As in weighted fair queueing, the jobs of a customer that exceeds its
+        The key is the negated rank of the job, which is the precedence of its customer
+        or follows from sharing, and the time at which the job is due. Each job is due
+        at a multiple of its expected duration, so short jobs go first, and a long one
+        can be overtaken for a bounded time only. As in weighted fair queueing, the
+        jobs of a customer that exceeds its
         share start from its virtual finish time. A job with a latency target is
         due at the end of its wait limit.
         """
         if job.request.latency_target is not None:
-            due_s = job.submitted_s + wait_limit_s(
-                job.request, longest_task_s, self.min_slowdown
-            )
-            return -customer.precedence, due_s
+            due_s = job.submitted_s + self.wait_limit_s(job.request, longest_task_s)
+            rank = self.sharing.rank(customer.name, customer.precedence, longest_task_s)
+            return -rank, due_s
         expected_duration_s = longest_task_s + work_s / self.parallelism()
         virtual_start_s = self._virtual_start_s(customer, job.submitted_s)
         return (
