Ranks a task that is queued again like the rest of its job

Cause: a task that an agent refused, or whose run was lost, went back behind all urgent jobs while its job had begun and its other tasks went first.

--- a/gooseberrylink/task_queue.py
+++ b/gooseberrylink/task_queue.py
@@ -53,6 +53,8 @@
 
     def push(self, task: Task) -> None:
         """Adds a task, which must be in state QUEUED."""
+        if _is_ranked(task) and task.attempts:
+            task.sort_key = _sort_key_of_rest(task)
         heap = self._long if task.is_long else self._short
         if task.is_crash_suspect:
             heap = self._suspects
@@ -128,7 +130,7 @@
     def _advance_rest(self, job: Job) -> None:
         """Gives the waiting tasks of a job that has begun the rank of such tasks."""
         for task in job.tasks:
-            sort_key = -rank_of_started(-task.sort_key[0]), task.sort_key[1]
+            sort_key = _sort_key_of_rest(task)
             if task not in self._valid_numbers or task.sort_key == sort_key:
                 continue
             self._valid_numbers[task] = number = next(self._sequence)
@@ -193,3 +195,8 @@
 
 def _is_ranked(task: Task) -> bool:
     return -task.sort_key[0] >= MIN_SHARING_RANK
+
+
+def _sort_key_of_rest(task: Task) -> tuple[int, float]:
+    """Returns the sort key of a task whose job has begun."""
+    return -rank_of_started(-task.sort_key[0]), task.sort_key[1]
--- a/tests/test_task_queue.py
+++ b/tests/test_task_queue.py
@@ -36,3 +36,22 @@
     queue.drop(head)
     assert queue.peek(False) is None
     assert queue.peek_many(False, 8) == []
+
+
+def test_rest_of_a_begun_job_goes_first_and_expired_jobs_are_found(make_task):
+    queue = TaskQueue()
+    begun, rest = make_task("begun", 5.0), make_task("rest", 5.0)
+    rest.job = begun.job
+    begun.job.tasks = [begun, rest]
+    urgent, expired = make_task("urgent", 1.0), make_task("expired", 2.0)
+    ranks = {begun: 11, rest: 11, urgent: 19, expired: 10}
+    for task, rank in ranks.items():
+        task.sort_key = -rank, task.sort_key[1]
+        task.job.start_by_s = task.sort_key[1]
+        queue.push(task)
+    queue.take(begun)
+    assert queue.candidates(1, 0.0) == [rest]
+    assert queue.candidates(2, 3.0) == [rest, urgent, expired]
+    begun.attempts, begun.state = 1, type(begun.state).QUEUED
+    queue.push(begun)
+    assert queue.candidates(2, 0.0) == [rest, begun]
