--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -169,7 +169,6 @@
             expires_s=now_s + request.deadline_s,
         )
         self._admission.create_tasks(job, pool)
-        job.start_by_s = max(job.start_by_s, self._admission.startup_grace_ends_s)
         self.jobs[job.job_id] = job
         for spec in request.tasks:
             pool.record_task_units(spec.resources.units)
@@ -331,6 +330,8 @@
                 pool.peers.remove(peer)
         peer.service = service
         self.pool(service).peers.append(peer)
+        if peer.can_serve:
+            self._admission.shorten_startup_grace(trio.current_time())
 
     def handle_result(self, peer: AgentPeer, result: Result) -> None:
         """Handles a result, or the report that a task is running."""
@@ -934,7 +935,7 @@
         """
         if not self._policy.is_deadline_aware or not task.job.is_unassigned():
             return False
-        can_wait = now_s < task.job.start_by_s
+        can_wait = self._admission.can_wait(task.job, now_s)
         return not (can_wait and self._can_end_in_time(task, now_s))
 
     def _give_up(self, job: Job) -> None:
