--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -25,10 +25,10 @@
     UnconfirmedStart,
 )
 from gooseberrylink.quotas import Quotas
-from gooseberrylink.resources import Resources
 from gooseberrylink.retry_budget import RetryBudget
 from gooseberrylink.routing import make_policy, remote_factor
 from gooseberrylink.run_times import RunTimeModel, WorkerIdentity
+from gooseberrylink.scheduling.task_picker import TaskPicker
 from gooseberrylink.service_pool import ServicePool
 from gooseberrylink.settings import EntrySettings
 from gooseberrylink.success_rates import CustomerSuccessRates
@@ -41,15 +41,9 @@
 # How long a task waits for proof that its losses were crashes. Crashed backend servers
 # are back after some three seconds, and announce themselves at once.
 _CRASH_REPORT_WAIT_S = 5.0
-# A task that would miss its deadline even if it ran that many times as fast as
-# expected is not assigned.
-_MAX_SPEEDUP = 2.0
 # Demand of a queue whose first task is due within this time is advertised even if the
 # queue is not stalled.
 _DUE_SOON_S = 0.3
-# Tasks at the head of the queue that are tried, so that one that fits nowhere does
-# not block smaller ones behind it.
-_SCAN_DEPTH = 8
 # A queue that is not empty for longer is stalled: most tasks are shorter than this, so
 # their results would have freed slots by then.
 _QUEUE_STALLED_S = 1.0
@@ -99,6 +93,7 @@
         self._pools: dict[str, ServicePool] = {}
         self._retry_budget = RetryBudget(settings.retry_share, _MAX_RETRY_BUDGET)
         self._policy = make_policy(settings, random.Random(seed), self.run_times)
+        self._picker = TaskPicker(self._policy)
         self._admission = Admission(
             configuration, self.quotas, self.run_times, self._policy.is_deadline_aware
         )
@@ -815,46 +810,24 @@
         Returns:
             Whether it did either.
         """
-        now_s = trio.current_time()
-        candidates = pool.queue.peek_many(False, _SCAN_DEPTH)
-        candidates += pool.queue.peek_many(True, _SCAN_DEPTH)
-        candidates += pool.queue.peek_suspects(_SCAN_DEPTH)
-        # What the short (False) and long (True) tasks need that no worker could take.
-        # Tasks that need at least as much are not tried.
-        unplaced: dict[bool, list[Resources]] = {False: [], True: []}
-        for task in sorted(candidates, key=lambda head: head.sort_key):
-            needs = task.spec.resources
-            may_fit = not any(needs.covers(other) for other in unplaced[task.is_long])
-            if may_fit and self._can_end_in_time(task, now_s):
-                peer = self._policy.choose(task, pool.peers, now_s)
-                if peer is not None:
-                    pool.queue.take(task)
-                    self._assign(pool, peer, task)
-                    return True
-                if not task.is_crash_suspect:
-                    unplaced[task.is_long].append(needs)
-            if self._is_too_late_to_start(task, now_s):
-                self._give_up(task.job)
-                return True
-        return False
+        decision = self._picker.pick_next(pool, trio.current_time())
+        if decision is None:
+            return False
+        if decision.peer is None:
+            self._give_up(decision.task.job)
+        else:
+            pool.queue.take(decision.task)
+            self._assign(pool, decision.peer, decision.task)
+        return True
 
     def _assign_new_job(self, pool: ServicePool, job: Job) -> None:
-        """Assigns tasks of a new job ahead of tasks that wait in the queue.
-
-        At peak load the fast hosts are full, and tasks that wait for them must not
-        keep slow hosts idle where the new job would be on time.
-        """
-        if job.request.latency_target is None or self.is_settling():
+        """Assigns tasks of a new job ahead of tasks that wait in the queue."""
+        if self.is_settling():
             return
         now_s = trio.current_time()
-        for task in job.tasks:
-            if task.state is TaskState.QUEUED:
-                peer = self._policy.choose(task, pool.peers, now_s)
-                if peer is None and not task.is_crash_suspect:
-                    return
-                if peer is not None:
-                    pool.queue.take(task)
-                    self._assign(pool, peer, task)
+        for decision in self._picker.pick_of_new_job(job, pool, now_s):
+            pool.queue.take(decision.task)
+            self._assign(pool, decision.peer, decision.task)
 
     def _assign(self, pool: ServicePool, peer: AgentPeer, task: Task) -> None:
         task.state = TaskState.ASSIGNED
@@ -891,25 +864,6 @@
         )
         peer.assign(task, hints)
 
-    def _can_end_in_time(self, task: Task, now_s: float) -> bool:
-        """Returns whether a task could still end before its job's deadline.
-
-        Always True once a task of the job has been assigned.
-        """
-        if not self._policy.is_deadline_aware or not task.job.is_unassigned():
-            return True
-        return now_s + task.expected_s / _MAX_SPEEDUP < task.job.expires_s
-
-    def _is_too_late_to_start(self, task: Task, now_s: float) -> bool:
-        """Returns whether a task's job has waited too long to be started.
-
-        Always False once a task of the job has been assigned.
-        """
-        if not self._policy.is_deadline_aware or not task.job.is_unassigned():
-            return False
-        can_wait = now_s < task.job.start_by_s
-        return not (can_wait and self._can_end_in_time(task, now_s))
-
     def _give_up(self, job: Job) -> None:
         self._withdraw_tasks(job)
         self._metrics.add("jobs_given_up")
--- /dev/null
+++ b/gooseberrylink/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decides under load who waits, who runs and where."""
