scheduling: use room for which an entry has no credits

Each agent divides its idle units among entries, so an entry's credits seldom lie where its next task would be on time, and tasks went to slow workers and other racks while the right ones were idle. Agents report all their idle units (last field of their frames), and the policy completion-time places tasks there if they are on time.

--- a/gooseberrylink/peers/agent_peer.py
+++ b/gooseberrylink/peers/agent_peer.py
@@ -105,6 +105,7 @@
         self._agent_clock_s = 0.0
         self._free_units = 0
         self._free_long_units = 0
+        self._idle_units = 0
         self._units_sent = 0
         self._units_received = 0
         self.capacity = NO_RESOURCES
@@ -157,6 +158,15 @@
             return 0
         return self._free_units - (self._units_sent - self._units_received)
 
+    @property
+    def idle_units(self) -> int:
+        """Estimate of the units that no task uses, of whatever entry."""
+        if not self.can_serve:
+            return 0
+        # Agents of earlier versions report no idle units.
+        reported = max(self._idle_units, self._free_units)
+        return reported - (self._units_sent - self._units_received)
+
     @property
     def free_long_units(self) -> int:
         """Estimate of the units that long tasks of this entry may still use."""
@@ -335,7 +345,7 @@
             Resources(hello.slots, self.capacity.memory_mb, self.capacity.gpus)
         )
         self._record_agent_clock(hello.clock_s)
-        self._free_units = self._free_long_units = 0
+        self._free_units = self._free_long_units = self._idle_units = 0
         self._units_sent = self._units_received = 0
         self.config_version = hello.config_version
         session.record_peer_config_version(hello.config_version)
@@ -426,6 +436,7 @@
         self._record_agent_clock(frame.clock_s)
         self._free_units = frame.free_units
         self._free_long_units = frame.free_long_units
+        self._idle_units = frame.idle_units
         self._units_received = frame.units_received
         self.free_memory_mb = frame.free_memory_mb
         self.free_gpus = frame.free_gpus
--- a/gooseberrylink/peers/entry_peer.py
+++ b/gooseberrylink/peers/entry_peer.py
@@ -261,4 +261,5 @@
             lost_runs=lost_runs,
             started_ids=[i for i in started_ids if agent.is_running(i)],
             unconfirmed_starts=unconfirmed_starts,
+            idle_units=0 if agent.health.is_quarantined else allocator.idle_units(),
         )
--- a/gooseberrylink/peers/messages.py
+++ b/gooseberrylink/peers/messages.py
@@ -263,6 +263,8 @@
         started_ids: Ids of this entry's assignments that are running and whose start
             the backend server has confirmed, each once on a link.
         unconfirmed_starts: Those that other entries sent; see EntryFrame.
+        idle_units: Units that no task uses, also those credited to other entries; 0
+            if the agent accepts only single tasks.
     """
 
     clock_s: float
@@ -284,6 +286,7 @@
     lost_runs: list[LostRun] = []
     started_ids: list[str] = []
     unconfirmed_starts: list[UnconfirmedStart] = []
+    idle_units: int = 0
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/gooseberrylink/platform/entry_program.py
+++ b/gooseberrylink/platform/entry_program.py
@@ -105,6 +105,7 @@
         drain_s=grace_s - _BALANCER_NOTICE_S - RESPONSE_FLUSH_S,
         drain_quiet_s=_DRAIN_QUIET_S,
         agents_back_s=_STARTUP_GRACE_S,
+        policy="completion-time",
         remote_factor=settings.bounds.remote_factor,
         rerun_after_silence_s=RERUN_AFTER_SILENCE_S,
         max_late_start_s=MAX_LATE_START_S,
--- a/gooseberrylink/routing.py
+++ b/gooseberrylink/routing.py
@@ -7,6 +7,12 @@
 from gooseberrylink.peers.agent_peer import AgentPeer
 from gooseberrylink.peers.messages import Host
 from gooseberrylink.run_times import RunTimeModel, WorkerIdentity
+from gooseberrylink.scheduling.placement import (
+    Place,
+    choose_place,
+    has_uncredited_room,
+    is_room_scarce,
+)
 from gooseberrylink.settings import EntrySettings
 from gooseberrylink.types import Task, TaskSpec
 from gooseberrylink.wait_limits import on_time_wait_limit_s
@@ -137,22 +143,18 @@
             peers = others if any(peer.can_serve for peer in others) else peers
         peers = self._exclude_slow_workers(peers, now_s)
         eligible = [peer for peer in peers if peer.has_free_resources_for(task)]
-        if not eligible:
-            return None
         if task.is_crash_suspect:
             return _choose_for_suspect(eligible, now_s)
         # It would be lost with a worker that crashes.
         eligible = [p for p in eligible if not p.is_on_trial(now_s)] or eligible
         if task.job.request.latency_target is None:
-            return max(eligible, key=lambda peer: self._score(peer, task, now_s))
-        on_time = [peer for peer in eligible if self._is_on_time(peer, task, now_s)]
-        if on_time:
-            is_saturated = self._is_saturated(peers)
             return max(
-                on_time,
-                key=lambda peer: self._on_time_score(peer, task, now_s, is_saturated),
+                eligible, key=lambda peer: self._score(peer, task, now_s), default=None
             )
-        if self._may_be_on_time(peers, task, now_s):
+        on_time_peer = self._choose_on_time(task, eligible, peers, now_s)
+        if on_time_peer is not None:
+            return on_time_peer
+        if not eligible or self._may_be_on_time(peers, task, now_s):
             return None
         if task.job.is_unassigned():
             eligible = [peer for peer in eligible if _has_spare_capacity(peer)]
@@ -160,6 +162,22 @@
             eligible, key=lambda peer: self._score(peer, task, now_s), default=None
         )
 
+    def _choose_on_time(
+        self,
+        task: Task,
+        eligible: list[AgentPeer],
+        peers: list[AgentPeer],
+        now_s: float,
+    ) -> AgentPeer | None:
+        """Returns the best worker at which a task is on time if it starts at once."""
+        on_time = [peer for peer in eligible if self._is_on_time(peer, task, now_s)]
+        is_saturated = self._is_saturated(peers)
+        return max(
+            on_time,
+            key=lambda peer: self._on_time_score(peer, task, now_s, is_saturated),
+            default=None,
+        )
+
     def min_slowdown(self, peers: list[AgentPeer]) -> float:
         """See RoutingPolicy."""
         slowdowns = [self._worker_slowdown(peer) for peer in peers if peer.can_serve]
@@ -238,6 +256,32 @@
         return score
 
 
+class CompletionTimePolicy(LateBindingPolicy):
+    """Like LateBindingPolicy, but also uses room for which the entry has no credits.
+
+    Workers at which a task would be on time are considered if their agent reported
+    room, whichever entry has the credits for it.
+    """
+
+    def _choose_on_time(
+        self,
+        task: Task,
+        eligible: list[AgentPeer],
+        peers: list[AgentPeer],
+        now_s: float,
+    ) -> AgentPeer | None:
+        others = [peer for peer in peers if not peer.is_on_trial(now_s)]
+        places = []
+        for peer in others or peers:
+            has_credits = peer.has_free_resources_for(task)
+            has_room = has_credits or has_uncredited_room(peer, task, now_s)
+            if has_room and self._is_on_time(peer, task, now_s):
+                factor = remote_factor(task.spec, peer.host, self._settings)
+                slowdown = self._worker_slowdown(peer)
+                places.append(Place(peer, has_credits, slowdown, factor))
+        return choose_place(places, is_room_scarce(peers))
+
+
 def _is_trial_limit_reached(peers: list[AgentPeer], now_s: float) -> bool:
     """Returns whether tasks that may crash a worker have to wait.
 
@@ -270,4 +314,6 @@
         return RandomPolicy(rng)
     if settings.policy == "least-in-flight":
         return LeastInFlightPolicy(rng)
+    if settings.policy == "completion-time":
+        return CompletionTimePolicy(run_times, settings)
     return LateBindingPolicy(run_times, settings)
--- a/gooseberrylink/settings.py
+++ b/gooseberrylink/settings.py
@@ -17,7 +17,7 @@
 Address = Annotated[str, AfterValidator(_validate_address)]
 Seconds = Annotated[float, Field(gt=0, allow_inf_nan=False)]
 Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,63}$")]
-PolicyName = Literal["late-binding", "least-in-flight", "random"]
+PolicyName = Literal["late-binding", "completion-time", "least-in-flight", "random"]
 
 
 class PeerSettings(StrictModel):
@@ -143,7 +143,8 @@
         listen_agents: host:port at which agents connect, over gRPC or plain TCP.
         entries: Addresses (listen_agents) of other entries, if known.
         platform: Address of the platform's table service and object store.
-        policy: How tasks are assigned to workers.
+        policy: How tasks are assigned to workers. With "completion-time", a task that
+            would be late where the entry has credits goes to other workers with room.
         config_poll_s: Interval at which the platform is polled for a new
             configuration.
         ready_peers: While the platform has not confirmed the entry's configuration,
