scheduling: try each job that waits for a worker of its own

A task that waited for a worker where it is on time kept all others of its size from being tried, also those with data on other racks.

--- a/gooseberrylink/scheduling/task_picker.py
+++ b/gooseberrylink/scheduling/task_picker.py
@@ -18,7 +18,7 @@
 _MAX_SPEEDUP = 2.0
 # Tasks at the head of the queue that are tried, so that one that fits nowhere does
 # not block smaller ones behind it.
-_SCAN_DEPTH = 8
+_SCAN_DEPTH = 16
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -47,14 +47,23 @@
         # What the short (False) and long (True) tasks need that no worker could take.
         # Tasks that need at least as much are not tried.
         unplaced: dict[bool, list[Resources]] = {False: [], True: []}
+        # A job with a latency target may also wait for a worker where it is on time,
+        # which says nothing about others: their data is elsewhere, or they have longer.
+        waiting_jobs: set[Job] = set()
         for task in sorted(candidates, key=lambda head: head.sort_key):
             needs = task.spec.resources
-            may_fit = not any(needs.covers(other) for other in unplaced[task.is_long])
+            may_fit = task.job not in waiting_jobs and not any(
+                needs.covers(other) for other in unplaced[task.is_long]
+            )
             if may_fit and self._can_end_in_time(task, now_s):
                 peer = self._policy.choose(task, pool.peers, now_s)
                 if peer is not None:
                     return Decision(task, peer)
-                if not task.is_crash_suspect:
+                if task.is_crash_suspect:
+                    pass
+                elif task.job.request.latency_target is not None:
+                    waiting_jobs.add(task.job)
+                else:
                     unplaced[task.is_long].append(needs)
             if self._is_too_late_to_start(task, now_s):
                 return Decision(task, None)
