--- a/gooseberrylink/routing.py
+++ b/gooseberrylink/routing.py
@@ -278,7 +278,8 @@
             if has_room and self._is_on_time(peer, task, now_s):
                 factor = remote_factor(task.spec, peer.host, self._settings)
                 slowdown = self._worker_slowdown(peer)
-                places.append(Place(peer, has_credits, slowdown, factor))
+                is_near = peer.data_centre == self._settings.data_centre
+                places.append(Place(peer, has_credits, is_near, slowdown, factor))
         return choose_place(places, is_room_scarce(peers))
 
 
--- a/gooseberrylink/scheduling/placement.py
+++ b/gooseberrylink/scheduling/placement.py
@@ -27,6 +27,8 @@
 _SCARCE_IDLE_SHARE = 0.5
 # A start without a credit may be refused, which costs two messages.
 _UNCREDITED_FACTOR = 0.9
+# Results from other data centres cost more, and take longer.
+_NEAR_FACTOR = 1.05
 
 
 class ReportedRoom(Protocol):
@@ -59,12 +61,14 @@
 
     Attributes:
         has_credits: Whether the entry has credits for the task there.
+        is_near: Whether the worker is in the entry's data centre.
         slowdown: Run time divided by expected run time on this worker.
         remote_factor: Factor by which the task runs longer away from its data.
     """
 
     worker: _Worker
     has_credits: bool
+    is_near: bool
     slowdown: float
     remote_factor: float
 
@@ -95,6 +99,7 @@
 
     def score(place: Place[_Worker]) -> tuple[float, int]:
         factor = 1.0 if place.has_credits else _UNCREDITED_FACTOR
+        factor *= _NEAR_FACTOR if place.is_near else 1.0
         if is_scarce:
             # A run away from the data takes more of a worker's time.
             factor *= place.slowdown / place.remote_factor**2
--- a/tests/placement_replay.py
+++ b/tests/placement_replay.py
@@ -37,6 +37,8 @@
 RUN_OVERHEAD_S = 0.006
 REPORT_INTERVAL_S = 0.25
 CHECK_INTERVAL_S = 0.05
+# Younger runs say nothing about a worker's speed.
+MIN_MEASURED_S = 0.2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -73,7 +75,7 @@
     entry_count: int = 10
     links_per_agent: int = 4
     rack_size: int = 8
-    speeds: tuple[float, ...] = (0.7, 0.7, 1.7)
+    slowdowns: tuple[float, ...] = (0.7, 0.7, 1.7)
     capacities: tuple[int, ...] = (32_000, 48_000)
     declared_error: float = 0.4
     turned_slow: frozenset[int] = frozenset()
@@ -176,14 +178,14 @@
         self.racks = sorted({w.host.rack for w in self.workers})
         self.done, self.refused = [], []
         self.stranded_s = self.free_s = self.queued_s = 0.0
-        self.refused_starts = self.starts = 0
+        self.refused_starts, self.starts = 0, []
 
     def _make_worker(self, i, rng):
-        speed = self.load.speeds[rng.randrange(len(self.load.speeds))]
+        slowdown = self.load.slowdowns[rng.randrange(len(self.load.slowdowns))]
         units = self.load.capacities[rng.randrange(len(self.load.capacities))]
         rack = i // self.load.rack_size
-        hardware = "b" if speed > 1 else "a"
-        return Worker(f"w{i}", speed, units, Host(hardware, f"r{rack}"), f"d{rack % 3}")
+        hardware = "b" if slowdown > 1 else "a"
+        return Worker(f"w{i}", 1 / slowdown, units, Host(hardware, f"r{rack}"), f"d{rack % 3}")
 
     def _connect(self, worker, rng):
         for number in rng.sample(
@@ -376,15 +378,10 @@
         worker.allocator.allocate(
             str(peer.entry), False, self.now_s, task.spec.resources
         )
-        self.starts += 1
+        self.starts.append((self.now_s, worker.name))
         factor = remote_factor(task.spec, worker.host, self.settings)
         run_s = task.spec.payload * factor / self._speed(worker) + RUN_OVERHEAD_S
-        worker.running[task] = (
-            self.now_s,
-            run_s,
-            task.expected_s * factor,
-            str(peer.entry),
-        )
+        worker.running[task] = (self.now_s, run_s, task.expected_s)
         self.at(self.now_s + run_s, self._end, peer, task, run_s)
 
     def _end(self, peer, task, run_s):
@@ -403,7 +400,9 @@
         worker = peer.at
         free = worker.allocator.free_units_for(str(peer.entry))
         speeds = [
-            expected_s / run_s for _, run_s, expected_s, _ in worker.running.values()
+            expected_s / run_s
+            for started_s, run_s, expected_s in worker.running.values()
+            if self.now_s - started_s >= MIN_MEASURED_S
         ]
         speed = statistics.median(speeds) if len(speeds) > 1 else None
         received = getattr(peer, "received_at_agent", 0)
@@ -484,5 +483,5 @@
         waits = sorted(j.waited_s for j in jobs[:tenth])
         figures["largest_wait_p99_s"] = waits[int(0.99 * len(waits))]
         figures["stranded"] = self.stranded_s / self.free_s if self.free_s else 0.0
-        figures["refused_starts"] = self.refused_starts / self.starts
+        figures["refused_starts"] = self.refused_starts / len(self.starts)
         return figures
