--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -842,6 +842,8 @@
         if task.attempts == 1:
             self._retry_budget.deposit()
         self._metrics.add("assigns")
+        if not peer.has_free_resources_for(task):
+            self._metrics.add("assigns_without_credits")
         customer = task.job.request.customer
         if task.job.request.rerun_policy is not None:
             log_event(
@@ -851,6 +853,7 @@
                 attempt=task.attempts,
                 worker=peer.worker,
                 free_units=peer.free_units,
+                idle_units=peer.idle_units,
                 last_frame_age_s=task.assigned_s - peer.last_frame_s,
                 waited_s=task.assigned_s - task.job.submitted_s,
                 hardware=peer.host.hardware,
--- a/gooseberrylink/routing.py
+++ b/gooseberrylink/routing.py
@@ -10,8 +10,8 @@
 from gooseberrylink.scheduling.placement import (
     Place,
     choose_place,
+    compute_idle_share,
     has_uncredited_room,
-    is_room_scarce,
 )
 from gooseberrylink.settings import EntrySettings
 from gooseberrylink.types import Task, TaskSpec
@@ -271,16 +271,17 @@
         now_s: float,
     ) -> AgentPeer | None:
         others = [peer for peer in peers if not peer.is_on_trial(now_s)]
+        idle_share = compute_idle_share(peers)
         places = []
         for peer in others or peers:
             has_credits = peer.has_free_resources_for(task)
-            has_room = has_credits or has_uncredited_room(peer, task, now_s)
+            has_room = has_credits or has_uncredited_room(peer, task, idle_share, now_s)
             if has_room and self._is_on_time(peer, task, now_s):
                 factor = remote_factor(task.spec, peer.host, self._settings)
                 slowdown = self._worker_slowdown(peer)
                 is_near = peer.data_centre == self._settings.data_centre
                 places.append(Place(peer, has_credits, is_near, slowdown, factor))
-        return choose_place(places, is_room_scarce(peers))
+        return choose_place(places, idle_share)
 
 
 def _is_trial_limit_reached(peers: list[AgentPeer], now_s: float) -> bool:
--- a/gooseberrylink/scheduling/placement.py
+++ b/gooseberrylink/scheduling/placement.py
@@ -25,6 +25,8 @@
 # Below this share of idle units, fast workers are left to tasks that would be late on
 # slow ones.
 _SCARCE_IDLE_SHARE = 0.5
+# Below this one, room for a single task is left to the entry that has the credits.
+_FULL_IDLE_SHARE = 0.3
 # A start without a credit may be refused, which costs two messages.
 _UNCREDITED_FACTOR = 0.9
 # Results from other data centres cost more, and take longer.
@@ -73,24 +75,27 @@
     remote_factor: float
 
 
-def has_uncredited_room(worker: ReportedRoom, task: Task, now_s: float) -> bool:
+def has_uncredited_room(
+    worker: ReportedRoom, task: Task, idle_share: float, now_s: float
+) -> bool:
     """Returns whether a worker probably has room for a task beyond the credits."""
     age_s = now_s - worker.last_frame_s
     if task.is_long or task.is_crash_suspect or age_s > _MAX_REPORT_AGE_S:
         return False
     needs = task.spec.resources
-    wanted_units = needs.units * (1.0 + age_s / _TAKEN_BY_OTHERS_S)
+    wanted_tasks = 1.0 if idle_share >= _FULL_IDLE_SHARE else 2.0
+    wanted_tasks += age_s / _TAKEN_BY_OTHERS_S
     room = Resources(worker.idle_units, worker.free_memory_mb, worker.free_gpus)
-    return worker.idle_units >= wanted_units and room.covers(needs)
+    return room.covers(needs) and room.units >= wanted_tasks * needs.units
 
 
-def is_room_scarce(workers: Sequence[ReportedRoom]) -> bool:
-    """Returns whether less than half of all units are idle, as far as reported."""
+def compute_idle_share(workers: Sequence[ReportedRoom]) -> float:
+    """Returns the share of all units that is idle, as far as reported."""
     idle_units = sum(max(0, worker.idle_units) for worker in workers)
-    return idle_units < _SCARCE_IDLE_SHARE * sum(worker.slots for worker in workers)
+    return idle_units / max(1, sum(worker.slots for worker in workers))
 
 
-def choose_place(places: Sequence[Place[_Worker]], is_scarce: bool) -> _Worker | None:
+def choose_place(places: Sequence[Place[_Worker]], idle_share: float) -> _Worker | None:
     """Chooses where a task starts at once; None if there is no place.
 
     The place at which the task ends first is chosen. If room is scarce, the slowest
@@ -100,7 +105,7 @@
     def score(place: Place[_Worker]) -> tuple[float, int]:
         factor = 1.0 if place.has_credits else _UNCREDITED_FACTOR
         factor *= _NEAR_FACTOR if place.is_near else 1.0
-        if is_scarce:
+        if idle_share < _SCARCE_IDLE_SHARE:
             # A run away from the data takes more of a worker's time.
             factor *= place.slowdown / place.remote_factor**2
         else:
--- a/tests/placement_replay.py
+++ b/tests/placement_replay.py
@@ -56,7 +56,7 @@
 )
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(frozen=True)
 class Load:
     """A load and a fleet.
 
@@ -185,7 +185,9 @@
         units = self.load.capacities[rng.randrange(len(self.load.capacities))]
         rack = i // self.load.rack_size
         hardware = "b" if slowdown > 1 else "a"
-        return Worker(f"w{i}", 1 / slowdown, units, Host(hardware, f"r{rack}"), f"d{rack % 3}")
+        return Worker(
+            f"w{i}", 1 / slowdown, units, Host(hardware, f"r{rack}"), f"d{rack % 3}"
+        )
 
     def _connect(self, worker, rng):
         for number in rng.sample(
