--- a/tests/test_reruns.py
+++ b/tests/test_reruns.py
@@ -65,13 +65,13 @@
         seed: int = 0,
         units: int = 8,
         hosts: list[Host] | None = None,
+        policy: str = "late-binding",
     ):
         async def main(deployment):
             async with trio.open_nursery() as nursery:
+                settings = ENTRY_SETTINGS | LINK_SETTINGS | {"policy": policy}
                 for number in range(entries):
-                    await deployment.add_entry(
-                        f"entry-{number}", **ENTRY_SETTINGS, **LINK_SETTINGS
-                    )
+                    await deployment.add_entry(f"entry-{number}", **settings)
                 fakes = []
                 for number in range(len(hosts) if hosts else workers):
                     fake = FakeLeasedBackend(f"tank-{number + 1}", nursery, units)
@@ -275,6 +275,20 @@
         await entry.submit(make_job(f"learn-{number}", *[run_s] * 20))
 
 
+def test_room_credited_to_another_entry_is_used(run_deployment_with_leases):
+    async def test(deployment, workers):
+        entry = deployment.entries[0]
+        # The other entry has the credits for half of the worker's eight units.
+        await trio.sleep(LINK_SETTINGS["idle_heartbeat_s"])
+        job = make_job("a", *[0.3] * 8, **LATENCY_TARGET)
+        assert (await entry.submit(job)).code is Code.OK
+        # The last quarter is left to the other entry, until its credits are moved.
+        assert entry.metrics.get("assigns_without_credits") == 2
+        assert entry.metrics.by_reason("retries") == {}
+
+    run_deployment_with_leases(test, workers=1, policy="completion-time")
+
+
 def test_long_tasks_wait_for_a_host_where_they_are_on_time(run_deployment_with_leases):
     # Of 55 late jobs 50 had a task on a slow host (seen in bennani-eau scale-2,
     # seconds 0 to 32). Here a task of 0.9 s takes 1.53 s on the slow host, and 1.5 s
