--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -25,11 +25,11 @@
     UnconfirmedStart,
 )
 from gooseberrylink.quotas import Quotas
-from gooseberrylink.resources import Resources
 from gooseberrylink.retry_budget import RetryBudget
 from gooseberrylink.routing import make_policy, remote_factor
 from gooseberrylink.run_times import RunTimeModel
 from gooseberrylink.scheduling.evacuation import refusal_for_lack_of_room
+from gooseberrylink.scheduling.task_picker import TaskPicker
 from gooseberrylink.scheduling.trial import Trial, try_out
 from gooseberrylink.service_pool import ServicePool
 from gooseberrylink.settings import EntrySettings
@@ -47,15 +47,9 @@
 # How long a task waits for proof that its losses were crashes. Crashed backend servers
 # are back after some three seconds, and announce themselves at once.
 _CRASH_REPORT_WAIT_S = 5.0
-# A task that would miss its deadline even if it ran that many times as fast as
-# expected is not assigned.
-_MAX_SPEEDUP = 2.0
 # Demand of a queue whose first task is due within this time is advertised even if the
 # queue is not stalled.
 _DUE_SOON_S = 0.3
-# Tasks at the head of the queue that are tried, so that one that fits nowhere does
-# not block smaller ones behind it.
-_SCAN_DEPTH = 8
 # A queue that is not empty for longer is stalled: most tasks are shorter than this, so
 # their results would have freed slots by then.
 _QUEUE_STALLED_S = 1.0
@@ -105,6 +99,7 @@
         self._admission = Admission(
             configuration, self.quotas, self.run_times, self._policy, settings
         )
+        self._picker = TaskPicker(self._policy, self._admission.can_wait)
         # For each agent whose link closed while it had tasks of this entry: the time
         # from which none that has started can be running, as all leases have expired.
         self._leases_end_s: dict[AgentPeer, float] = {}
@@ -848,43 +843,24 @@
         Returns:
             Whether it did either.
         """
-        now_s = trio.current_time()
-        # What the short (False) and long (True) tasks need that no worker could take.
-        # Tasks that need at least as much are not tried.
-        unplaced: dict[bool, list[Resources]] = {False: [], True: []}
-        for task in pool.queue.candidates(_SCAN_DEPTH, now_s):
-            needs = task.spec.resources
-            may_fit = not any(needs.covers(other) for other in unplaced[task.is_long])
-            if may_fit and self._can_end_in_time(task, now_s):
-                peer = self._policy.choose(task, pool.peers, now_s)
-                if peer is not None:
-                    pool.queue.take(task)
-                    self._assign(pool, peer, task)
-                    return True
-                if not task.is_crash_suspect:
-                    unplaced[task.is_long].append(needs)
-            if self._is_too_late_to_start(task, now_s):
-                self._give_up(task.job)
-                return True
-        return False
+        decision = self._picker.pick_next(pool, trio.current_time())
+        if decision is None:
+            return False
+        if decision.peer is None:
+            self._give_up(decision.task.job)
+        else:
+            pool.queue.take(decision.task)
+            self._assign(pool, decision.peer, decision.task)
+        return True
 
     def _assign_new_job(self, pool: ServicePool, job: Job) -> None:
-        """Assigns tasks of a new job ahead of tasks that wait in the queue.
-
-        At peak load the fast hosts are full, and tasks that wait for them must not
-        keep slow hosts idle where the new job would be on time.
-        """
-        if job.request.latency_target is None or self.is_settling():
+        """Assigns tasks of a new job ahead of tasks that wait in the queue."""
+        if self.is_settling():
             return
         now_s = trio.current_time()
-        for task in job.tasks:
-            if task.state is TaskState.QUEUED:
-                peer = self._policy.choose(task, pool.peers, now_s)
-                if peer is None and not task.is_crash_suspect:
-                    return
-                if peer is not None:
-                    pool.queue.take(task)
-                    self._assign(pool, peer, task)
+        for decision in self._picker.pick_of_new_job(job, pool, now_s):
+            pool.queue.take(decision.task)
+            self._assign(pool, decision.peer, decision.task)
 
     def _assign(self, pool: ServicePool, peer: AgentPeer, task: Task) -> None:
         task.state = TaskState.ASSIGNED
@@ -899,6 +875,8 @@
         if task.attempts == 1:
             self._retry_budget.deposit()
         self._metrics.add("assigns")
+        if not peer.has_free_resources_for(task):
+            self._metrics.add("assigns_without_credits")
         customer = task.job.request.customer
         if task.job.request.rerun_policy is not None:
             log_event(
@@ -908,6 +886,7 @@
                 attempt=task.attempts,
                 worker=peer.worker,
                 free_units=peer.free_units,
+                idle_units=peer.idle_units,
                 last_frame_age_s=task.assigned_s - peer.last_frame_s,
                 waited_s=task.assigned_s - task.job.submitted_s,
                 hardware=peer.host.hardware,
@@ -919,25 +898,6 @@
         )
         peer.assign(task, hints)
 
-    def _can_end_in_time(self, task: Task, now_s: float) -> bool:
-        """Returns whether a task could still end before its job's deadline.
-
-        Always True once a task of the job has been assigned.
-        """
-        if not self._policy.is_deadline_aware or not task.job.is_unassigned():
-            return True
-        return now_s + task.expected_s / _MAX_SPEEDUP < task.job.expires_s
-
-    def _is_too_late_to_start(self, task: Task, now_s: float) -> bool:
-        """Returns whether a task's job has waited too long to be started.
-
-        Always False once a task of the job has been assigned.
-        """
-        if not self._policy.is_deadline_aware or not task.job.is_unassigned():
-            return False
-        can_wait = self._admission.can_wait(task.job, now_s)
-        return not (can_wait and self._can_end_in_time(task, now_s))
-
     def _give_up(self, job: Job) -> None:
         retry_after_s = self.pool(job.request.service).retry_after_s()
         self._withdraw_tasks(job)
--- a/gooseberrylink/peers/entry_peer.py
+++ b/gooseberrylink/peers/entry_peer.py
@@ -290,4 +290,5 @@
             unconfirmed_starts=unconfirmed_starts,
             evacuations=self._evacuation_link.take_updates(),
             class_counts=agent.shares.counts_for(self.incarnation, now_s),
+            idle_units=0 if agent.health.is_quarantined else allocator.idle_units(),
         )
--- a/gooseberrylink/peers/messages.py
+++ b/gooseberrylink/peers/messages.py
@@ -305,6 +305,8 @@
         evacuations: States that the entry may not know.
         class_counts: Sums of the counts of all other entries, by class, if any has
             reported new ones.
+        idle_units: Units that no task uses, also those credited to other entries; 0
+            if the agent accepts only single tasks.
     """
 
     clock_s: float
@@ -328,6 +330,7 @@
     unconfirmed_starts: list[UnconfirmedStart] = []
     evacuations: list[EvacuationState] = []
     class_counts: list[ClassCounts] = []
+    idle_units: int = 0
 
 
 _encoder = msgspec.msgpack.Encoder()
