--- a/gooseberrylink/scheduling/placement.py
+++ b/gooseberrylink/scheduling/placement.py
@@ -23,9 +23,9 @@
 # that often.
 _MAX_REPORT_AGE_S = 0.6
 # Below this share of idle units, fast workers are left to tasks that would be late on
-# slow ones, and room for a single task to the entry that has the credits. Expected times
-# are off by a factor of 1.45, so a task that is just on time on a slow worker often is
-# not, and goes there only if the fast ones are nearly full.
+# slow ones, and room for a single task to the entry that has the credits. Expected
+# times are off by a factor of 1.45, so a task that is just on time on a slow worker
+# often is not, and goes there only if the fast ones are nearly full.
 _SCARCE_IDLE_SHARE = 0.15
 # A start without a credit may be refused, which costs two messages.
 _UNCREDITED_FACTOR = 0.9
