--- a/gooseberrylink/admission.py
+++ b/gooseberrylink/admission.py
@@ -25,10 +25,6 @@
 # as long as expected. Declared run times are off by 0.4 (relative standard deviation),
 # and half of the workers are of a slower kind.
 _RUN_TIME_MARGIN = 2.0
-# Load pattern: all hosts lose power, and callers send their jobs again while agents
-# connect one after another, the last ones this long after the first. Jobs that are kept
-# for longer would expire without an offer, and delay those that can be on time.
-_AGENTS_FOLLOW_S = 0.5
 _MAX_RETRY_AFTER_S = 30.0
 
 
@@ -37,7 +33,7 @@
 
     Attributes:
         startup_grace_ends_s: Time on the entry's clock until which jobs are
-            admitted and may wait even if no agent is connected. After an outage entries
+            admitted even if no agent is connected. After an outage entries
             restart sooner than agents reconnect, while the backend servers are
             idle.
     """
@@ -73,16 +69,6 @@
         admission._quotas = copy.deepcopy(self._quotas)
         return admission
 
-    def shorten_startup_grace(self, now_s: float) -> None:
-        """Ends the startup grace soon, as the first agent has connected."""
-        self.startup_grace_ends_s = min(
-            self.startup_grace_ends_s, now_s + _AGENTS_FOLLOW_S
-        )
-
-    def can_wait(self, job: Job, now_s: float) -> bool:
-        """Returns whether a job without an assigned task may wait on."""
-        return now_s < max(job.start_by_s, self.startup_grace_ends_s)
-
     def check(
         self,
         request: JobRequest,
--- a/gooseberrylink/dispatcher.py
+++ b/gooseberrylink/dispatcher.py
@@ -99,7 +99,7 @@
         self._admission = Admission(
             configuration, self.quotas, self.run_times, self._policy, settings
         )
-        self._picker = TaskPicker(self._policy, self._admission.can_wait)
+        self._picker = TaskPicker(self._policy)
         # For each agent whose link closed while it had tasks of this entry: the time
         # from which none that has started can be running, as all leases have expired.
         self._leases_end_s: dict[AgentPeer, float] = {}
@@ -164,6 +164,7 @@
             expires_s=now_s + request.deadline_s,
         )
         self._admission.create_tasks(job, pool)
+        job.start_by_s = max(job.start_by_s, self._admission.startup_grace_ends_s)
         self.jobs[job.job_id] = job
         for spec in request.tasks:
             pool.record_task_units(spec.resources.units)
@@ -325,8 +326,6 @@
                 pool.peers.remove(peer)
         peer.service = service
         self.pool(service).peers.append(peer)
-        if peer.can_serve:
-            self._admission.shorten_startup_grace(trio.current_time())
 
     def handle_result(self, peer: AgentPeer, result: Result) -> None:
         """Handles a result, or the report that a task is running."""
--- a/gooseberrylink/scheduling/task_picker.py
+++ b/gooseberrylink/scheduling/task_picker.py
@@ -5,7 +5,7 @@
 """
 
 import dataclasses
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
 from gooseberrylink.peers.agent_peer import AgentPeer
 from gooseberrylink.resources import Resources
@@ -36,16 +36,8 @@
 class TaskPicker:
     """Picks tasks of a service's queue, without taking them from it."""
 
-    def __init__(self, policy: RoutingPolicy, can_wait: Callable[[Job, float], bool]):
-        """Creates a picker.
-
-        Args:
-            policy: Chooses workers for tasks.
-            can_wait: Returns whether a job without an assigned task may wait on, at a
-                time on the entry's clock.
-        """
+    def __init__(self, policy: RoutingPolicy):
         self._policy = policy
-        self._can_wait = can_wait
 
     def pick_next(self, pool: ServicePool, now_s: float) -> Decision | None:
         """Returns what to do next; None if all tasks have to wait."""
@@ -109,5 +101,5 @@
         """
         if not self._policy.is_deadline_aware or not task.job.is_unassigned():
             return False
-        can_wait = self._can_wait(task.job, now_s)
+        can_wait = now_s < task.job.start_by_s
         return not (can_wait and self._can_end_in_time(task, now_s))
