--- a/review/rig3/rig.py
+++ b/review/rig3/rig.py
@@ -103,7 +103,7 @@
     def silence(self) -> int:
         """Silences all open channels for good; returns how many there are."""
         self.silent |= self.open
-        return len(self.silent)
+        return len(self.open)
 
     def reset(self) -> None:
         """Resets all open channels."""
@@ -316,6 +316,15 @@
 # Workers.
 
 
+@dataclasses.dataclass
+class End:
+    """The end of a run, as listed; `noted_s` is infinite until it is taken note of."""
+
+    number: int
+    listed_s: float
+    noted_s: float = float("inf")
+
+
 @dataclasses.dataclass
 class Run:
     """A run, as the worker saw it; `ended_s` is infinite while it runs."""
@@ -342,6 +351,8 @@
             later, and its lease then counts from that time.
         is_heard: Whether its liveness reports are sent.
         peak_cpu: The most capacity that was in use after a start.
+        ends: All ends of runs.
+        channels: The open channels of its agent.
     """
 
     def __init__(self, name: str, ip: str, record: Record, cpu: int = 16000):
@@ -351,13 +362,14 @@
         self.state = "ready"
         self.is_heard = True
         self.peak_cpu = 0
+        self.ends: list[End] = []
         self.runs: list[Run] = []
         self.delay_order: Callable[[str, dict], float | None] = lambda path, body: None
         self.is_down = False
         self._record = record
         self._life = 1
         self._server: asyncio.Server | None = None
-        self._channels = Channels()
+        self.channels = Channels()
         self._reset()
 
     def _reset(self) -> None:
@@ -382,7 +394,7 @@
 
     async def run(self) -> None:
         """Serves orders, advances the runs and reports to the control address."""
-        self._server = await serve(self.address, self._handle, self._channels)
+        self._server = await serve(self.address, self._handle, self.channels)
         await asyncio.gather(self._advance(), self._report_forever())
 
     async def crash(self, down_s: float, keeps_id: bool) -> None:
@@ -395,7 +407,7 @@
         self._record.add(f"worker {self.name}: crashes for {down_s:.2f} s")
         self.is_down = True
         self._server.close()
-        self._channels.reset()
+        self.channels.reset()
         for key in list(self._running):
             self._end(key, "crashed")
         await asyncio.sleep(down_s)
@@ -403,7 +415,7 @@
         if not keeps_id:
             self._life += 1
             self.instance = f"i-{self.name}-{self._life}"
-        self._server = await serve(self.address, self._handle, self._channels)
+        self._server = await serve(self.address, self._handle, self.channels)
         self.is_down = False
         self._record.add(f"worker {self.name}: is up again as {self.instance}")
         await self.report()
@@ -523,11 +535,15 @@
         self._highest[key[0]] = max(key[1], self._highest[key[0]])
         self._end_count += 1
         self._ends.append([self._end_count, *key, how, ""])
+        self.ends.append(End(self._end_count, run.ended_s))
         self._record.add(f"worker {self.name}: run {key[1]} of {key[0]} ends: {how}")
         self._ended.set()
         self._ended = asyncio.Event()
 
     async def _hold(self, fields: dict) -> Reply:
+        for end in self.ends:
+            if end.number <= fields["seenUpto"]:
+                end.noted_s = min(end.noted_s, time.monotonic())
         self._ends = [end for end in self._ends if end[0] > fields["seenUpto"]]
         if not self._ends:
             with contextlib.suppress(TimeoutError):
